--- /dev/null
+++ b/bilberry/members/member.h
@@ -0,0 +1,65 @@
+// What one process of ours says of itself to the others, through the store
+// and on every link between two processes.
+
+#ifndef BILBERRY_MEMBERS_MEMBER_H
+#define BILBERRY_MEMBERS_MEMBER_H
+
+#include "bilberry/base/address.h"
+#include "bilberry/base/ids.h"
+#include "bilberry/base/name.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace bilberry::members {
+
+enum class MemberRole : uint8_t { Balancer = 0, Agent = 1 };
+
+enum class MemberState : uint8_t {
+  /// Serving, but its upstream's working limit is still at the cold floor.
+  Cold = 0,
+  /// Takes new work.
+  InService = 1,
+  /// Finishes what it carries; takes no new work.
+  Draining = 2,
+  /// About to stop; carries nothing.
+  Leaving = 3,
+};
+
+/// The words that logs and `bilberryctl status` print. Never fail.
+std::string_view roleText(MemberRole Role);
+std::string_view stateText(MemberState State);
+
+/// A plain value; equal members are announced alike.
+struct Member {
+  base::MemberName Name;
+  base::Incarnation Run = 0;
+  MemberRole Role = MemberRole::Agent;
+  MemberState State = MemberState::Cold;
+  base::DataCentreName DataCentre;
+  /// The service of the agent's upstream; empty for a balancer.
+  base::ServiceName Service;
+  /// UDP: callers' packets.
+  base::Address Data;
+  /// nng over TCP: messages between our processes.
+  base::Address Control;
+  /// The revision of the targets that it has applied.
+  base::Revision Applied = 0;
+
+  bool operator==(const Member &) const = default;
+  MSGPACK_DEFINE(Name, Run, Role, State, DataCentre, Service, Data, Control,
+                 Applied); // NOLINT
+};
+
+/// True for a member that may be given new flows and requests.
+inline bool takesNewWork(const Member &Value) {
+  return Value.State == MemberState::Cold ||
+         Value.State == MemberState::InService;
+}
+
+} // namespace bilberry::members
+
+MSGPACK_ADD_ENUM(bilberry::members::MemberRole);
+MSGPACK_ADD_ENUM(bilberry::members::MemberState);
+
+#endif
--- /dev/null
+++ b/bilberry/store/keys.h
@@ -0,0 +1,34 @@
+// The keys that we use in the store, in one place.
+
+#ifndef BILBERRY_STORE_KEYS_H
+#define BILBERRY_STORE_KEYS_H
+
+#include "bilberry/base/name.h"
+
+#include <cstdint>
+#include <string>
+
+namespace bilberry::store {
+
+inline constexpr char TargetsKey[] = "/bilberry/targets";
+inline constexpr char MembersPrefix[] = "/bilberry/members/";
+inline constexpr char ShardsPrefix[] = "/bilberry/shards/";
+
+/// The key of one member's announcement, held under its lease.
+inline std::string memberKey(const base::MemberName &Name) {
+  return MembersPrefix + Name.text();
+}
+
+/// The keys of a service's shard records begin with this.
+inline std::string shardPrefix(const base::ServiceName &Service) {
+  return ShardsPrefix + Service.text() + "/";
+}
+
+/// The key of one shard's record.
+inline std::string shardKey(const base::ServiceName &Service, uint32_t Shard) {
+  return shardPrefix(Service) + std::to_string(Shard);
+}
+
+} // namespace bilberry::store
+
+#endif
