--- /dev/null
+++ b/bilberry/log/log.h
@@ -0,0 +1,35 @@
+// Logs by log4cxx: one line for each routing or placement decision, with the
+// same field names in every process, as text or as JSON.
+//
+//   decision=flow-placed subject=... to=... reason=...
+
+#ifndef BILBERRY_LOG_LOG_H
+#define BILBERRY_LOG_LOG_H
+
+#include "bilberry/board/agent_action.h"
+#include "bilberry/routing/balancer_router.h"
+
+#include <string_view>
+
+namespace bilberry::log {
+
+enum class Level : uint8_t { Debug, Info, Warn, Error };
+enum class Layout : uint8_t { Text, Json };
+
+/// Sets up logging to standard error. Call once, before any other thread
+/// starts. Process is the name that each line carries.
+void configure(std::string_view Process, Level Lowest, Layout Format);
+
+/// Write a line. Thread-safe.
+void info(std::string_view Message);
+void warn(std::string_view Message);
+void error(std::string_view Message);
+
+/// An agent's decision. Thread-safe.
+void decision(const board::LogDecision &Decision);
+/// A balancer's decision on a new flow or request. Thread-safe.
+void route(std::string_view Subject, const routing::Route &Route);
+
+} // namespace bilberry::log
+
+#endif
