Add the table of members and its views

Aim: routing needs one consistent view a service, shared without a lock. A put that changes nothing rebuilds nothing, since news of members comes with every message between processes. Ruled out: keeping Lookup sorted by hash; the order of names lets find() be a binary search. Mutations that turned tests red: older incarnations taken in, a second silence restarting the grace period, silent members left in Placement.

--- /dev/null
+++ b/bilberry/members/member_table.cc
@@ -0,0 +1,157 @@
+#include "bilberry/members/member_table.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+#include <xxhash.h>
+
+namespace bilberry::members {
+
+static uint64_t hashOfName(const base::MemberName &Name) {
+  return XXH3_64bits(Name.text().data(), Name.text().size());
+}
+
+static bool isAgent(const Member &Value) {
+  return Value.Role == MemberRole::Agent;
+}
+
+const Member *ServiceView::find(const base::MemberName &Name) const {
+  auto Before = [](const RankedMember &Item, const base::MemberName &Wanted) {
+    return Item.Value.Name < Wanted;
+  };
+  auto Found =
+      std::lower_bound(this->Lookup.begin(), this->Lookup.end(), Name, Before);
+  if (Found == this->Lookup.end() || Found->Value.Name != Name) {
+    return nullptr;
+  }
+  return &Found->Value;
+}
+
+void MemberTable::put(base::TimePoint, const Member &Value) {
+  std::lock_guard Lock(this->Mutex);
+  auto [Found, IsNew] = this->Entries.try_emplace(Value.Name, Entry{Value, {}});
+  if (IsNew) {
+    this->rebuild(Value.Service);
+    return;
+  }
+  Entry &Known = Found->second;
+  if (Value.Run < Known.Value.Run) {
+    return;
+  }
+  // News comes with every message between processes; most of it is old.
+  if (Value == Known.Value && !Known.SilentSince) {
+    return;
+  }
+  base::ServiceName Before = Known.Value.Service;
+  Known = Entry{Value, {}};
+  this->rebuild(Value.Service);
+  if (Before != Value.Service) {
+    this->rebuild(Before);
+  }
+}
+
+void MemberTable::markSilent(base::TimePoint Now,
+                             const base::MemberName &Name) {
+  std::lock_guard Lock(this->Mutex);
+  auto Found = this->Entries.find(Name);
+  if (Found == this->Entries.end() || Found->second.SilentSince) {
+    return;
+  }
+  Found->second.SilentSince = Now;
+  this->rebuild(Found->second.Value.Service);
+}
+
+void MemberTable::remove(const base::MemberName &Name) {
+  std::lock_guard Lock(this->Mutex);
+  auto Found = this->Entries.find(Name);
+  if (Found == this->Entries.end()) {
+    return;
+  }
+  base::ServiceName Service = Found->second.Value.Service;
+  this->Entries.erase(Found);
+  this->rebuild(Service);
+}
+
+void MemberTable::setOutOfService(std::set<base::DataCentreName> Names) {
+  std::lock_guard Lock(this->Mutex);
+  if (Names == this->OutOfService) {
+    return;
+  }
+  this->OutOfService = std::move(Names);
+  std::set<base::ServiceName> Services;
+  for (const auto &[Name, Item] : this->Entries) {
+    Services.insert(Item.Value.Service);
+  }
+  for (const base::ServiceName &Service : Services) {
+    this->rebuild(Service);
+  }
+}
+
+void MemberTable::tick(base::TimePoint Now) {
+  std::lock_guard Lock(this->Mutex);
+  std::set<base::ServiceName> Changed;
+  for (auto It = this->Entries.begin(); It != this->Entries.end();) {
+    const Entry &Item = It->second;
+    if (!Item.SilentSince || Now - *Item.SilentSince <= SilentGrace) {
+      ++It;
+      continue;
+    }
+    Changed.insert(Item.Value.Service);
+    It = this->Entries.erase(It);
+  }
+  for (const base::ServiceName &Service : Changed) {
+    this->rebuild(Service);
+  }
+}
+
+std::shared_ptr<const ServiceView>
+MemberTable::view(const base::ServiceName &Name) const {
+  static const auto Empty = std::make_shared<const ServiceView>();
+  std::lock_guard Lock(this->Mutex);
+  auto Found = this->Views.find(Name);
+  return Found == this->Views.end() ? Empty : Found->second;
+}
+
+std::optional<Member> MemberTable::find(const base::MemberName &Name) const {
+  std::lock_guard Lock(this->Mutex);
+  auto Found = this->Entries.find(Name);
+  if (Found == this->Entries.end()) {
+    return std::nullopt;
+  }
+  return Found->second.Value;
+}
+
+bool MemberTable::isSilent(const base::MemberName &Name) const {
+  std::lock_guard Lock(this->Mutex);
+  auto Found = this->Entries.find(Name);
+  return Found != this->Entries.end() && Found->second.SilentSince;
+}
+
+std::vector<Member> MemberTable::all() const {
+  std::lock_guard Lock(this->Mutex);
+  std::vector<Member> List;
+  List.reserve(this->Entries.size());
+  for (const auto &[Name, Item] : this->Entries) {
+    List.push_back(Item.Value);
+  }
+  return List;
+}
+
+void MemberTable::rebuild(const base::ServiceName &Name) {
+  auto View = std::make_shared<ServiceView>();
+  for (const auto &[MemberName, Item] : this->Entries) {
+    const Member &Value = Item.Value;
+    if (!isAgent(Value) || Value.Service != Name ||
+        this->OutOfService.contains(Value.DataCentre)) {
+      continue;
+    }
+    RankedMember Ranked{Value, hashOfName(MemberName)};
+    if (takesNewWork(Value) && !Item.SilentSince) {
+      View->Placement.push_back(Ranked);
+    }
+    View->Lookup.push_back(std::move(Ranked));
+  }
+  this->Views[Name] = std::move(View);
+}
+
+} // namespace bilberry::members
--- a/bilberry/members/member_table.h
+++ b/bilberry/members/member_table.h
@@ -29,7 +29,8 @@
   uint64_t NameHash = 0;
 };
 
-/// The agents of one service, as one consistent view. Immutable once built.
+/// The agents of one service, as one consistent view. Immutable once built;
+/// both lists are in the order of names.
 struct ServiceView {
   std::vector<RankedMember> Lookup;
   std::vector<RankedMember> Placement;
