Add the adapter for the etcd JSON gateway and the prefix watcher

A connection a call, so that a stale kept-alive connection never makes a write's outcome unknown; it costs a round trip a call.

--- /dev/null
+++ b/bilberry/store/call_counts.h
@@ -0,0 +1,56 @@
+// How many calls we make to the store, by kind. The platform bills each call,
+// a waiting watch as one.
+
+#ifndef BILBERRY_STORE_CALL_COUNTS_H
+#define BILBERRY_STORE_CALL_COUNTS_H
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace bilberry::store {
+
+enum class StoreCall : uint8_t {
+  Get,
+  List,
+  Swap,
+  Put,
+  Remove,
+  GrantLease,
+  KeepAlive,
+  RevokeLease,
+  Watch,
+};
+inline constexpr size_t StoreCallKinds = 9;
+
+/// The call as a word for logs. Never fails.
+std::string_view storeCallText(StoreCall Call);
+
+/// Counts of calls. Thread-safe without a lock; counts of different kinds are
+/// not one consistent picture.
+class StoreCallCounts {
+public:
+  /// Counts one call.
+  void add(StoreCall Call) { ++this->Counts[static_cast<size_t>(Call)]; }
+  /// The calls of one kind since the start.
+  uint64_t count(StoreCall Call) const {
+    return this->Counts[static_cast<size_t>(Call)];
+  }
+  /// The calls of all kinds since the start.
+  uint64_t total() const {
+    uint64_t Sum = 0;
+    for (const std::atomic<uint64_t> &Count : this->Counts) {
+      Sum += Count;
+    }
+    return Sum;
+  }
+
+private:
+  std::array<std::atomic<uint64_t>, StoreCallKinds> Counts = {};
+};
+
+} // namespace bilberry::store
+
+#endif
--- /dev/null
+++ b/bilberry/store/etcd_store.cc
@@ -0,0 +1,351 @@
+#include "bilberry/store/etcd_store.h"
+
+#include "bilberry/store/base64.h"
+#include "bilberry/store/etcd_json.h"
+
+#include <boost/outcome/try.hpp>
+#include <httplib.h>
+#include <utility>
+
+namespace bilberry::store {
+
+using base::Error;
+using base::ErrorCode;
+using nlohmann::json;
+
+static constexpr char RangePath[] = "/v3/kv/range";
+static constexpr char PutPath[] = "/v3/kv/put";
+static constexpr char TxnPath[] = "/v3/kv/txn";
+static constexpr char DeletePath[] = "/v3/kv/deleterange";
+static constexpr char GrantPath[] = "/v3/lease/grant";
+static constexpr char KeepAlivePath[] = "/v3/lease/keepalive";
+static constexpr char RevokePath[] = "/v3/lease/revoke";
+static constexpr char WatchPath[] = "/v3/watch";
+static constexpr char JsonType[] = "application/json";
+static constexpr int StatusOk = 200;
+// A watch line longer than this is no answer of a store whose values end at
+// a megabyte.
+static constexpr size_t MaxWatchLineBytes = 16U << 20U;
+
+static std::string hostText(const base::Address &Server) {
+  std::string Text = base::addressText(Server);
+  return Text.substr(0, Text.rfind(':'));
+}
+
+static void prepare(httplib::Client &Client, base::Duration ConnectTimeout,
+                    base::Duration ReadTimeout) {
+  Client.set_tcp_nodelay(true);
+  Client.set_connection_timeout(ConnectTimeout);
+  Client.set_write_timeout(ConnectTimeout);
+  Client.set_read_timeout(ReadTimeout);
+}
+
+// True where no byte of the request can have reached the store.
+static bool failedBeforeSending(httplib::Error Cause) {
+  return Cause == httplib::Error::Connection ||
+         Cause == httplib::Error::ConnectionTimeout ||
+         Cause == httplib::Error::BindIPAddress;
+}
+
+static Error lostAnswer(bool IsWrite, const std::string &Cause) {
+  return {IsWrite ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
+          "store: no usable answer: " + Cause};
+}
+
+static Error refusal(bool IsWrite, const std::string &Body) {
+  json Answer = parseObject(Body);
+  base::Result<int64_t> Number = integerField(Answer, "code");
+  auto Code = static_cast<GrpcCode>(Number ? Number.value() : 0);
+  std::string Message = textField(Answer, "message");
+  if (Code == GrpcCode::NotFound) {
+    return {ErrorCode::LeaseExpired, "store: " + Message};
+  }
+  bool IsRefused =
+      Code == GrpcCode::InvalidArgument ||
+      Code == GrpcCode::ResourceExhausted || Code == GrpcCode::OutOfRange ||
+      Code == GrpcCode::Unimplemented || Message == NoLeaderMessage;
+  if (IsRefused) {
+    return {ErrorCode::Unavailable, "store: " + Message};
+  }
+  return lostAnswer(IsWrite, Message);
+}
+
+static json keyRange(std::string_view Prefix) {
+  return {{"key", base64Text(Prefix)},
+          {"range_end", base64Text(prefixEnd(Prefix))}};
+}
+
+static json putRequest(std::string_view Key, std::string_view Value,
+                       LeaseId Lease) {
+  json Request = {{"key", base64Text(Key)}, {"value", base64Text(Value)}};
+  if (Lease != 0) {
+    Request["lease"] = std::to_string(Lease);
+  }
+  return Request;
+}
+
+static base::Result<KeyValue> parseKeyValue(const json &Object) {
+  BOOST_OUTCOME_TRY(Key, bytesField(Object, "key"));
+  BOOST_OUTCOME_TRY(Value, bytesField(Object, "value"));
+  BOOST_OUTCOME_TRY(Changed, integerField(Object, "mod_revision"));
+  BOOST_OUTCOME_TRY(Lease, integerField(Object, "lease"));
+  return KeyValue{std::move(Key), std::move(Value), Changed, Lease};
+}
+
+static base::Result<StoreRevision> headerRevision(const json &Answer) {
+  return integerField(field(Answer, "header"), "revision");
+}
+
+static base::Result<Listing> parseListing(const json &Answer) {
+  BOOST_OUTCOME_TRY(At, headerRevision(Answer));
+  Listing List{{}, At};
+  for (const json &Item : field(Answer, "kvs")) {
+    BOOST_OUTCOME_TRY(Entry, parseKeyValue(Item));
+    List.Entries.push_back(std::move(Entry));
+  }
+  return List;
+}
+
+static base::Result<SwapResult> parseSwap(const json &Answer) {
+  SwapResult Result;
+  Result.Swapped = field(Answer, "succeeded") == json(true);
+  if (Result.Swapped) {
+    BOOST_OUTCOME_TRY(Changed, headerRevision(Answer));
+    Result.Changed = Changed;
+    return Result;
+  }
+  for (const json &Response : field(Answer, "responses")) {
+    BOOST_OUTCOME_TRY(Present, parseListing(field(Response, "response_range")));
+    if (!Present.Entries.empty()) {
+      Result.Present = std::move(Present.Entries.front());
+    }
+  }
+  return Result;
+}
+
+namespace {
+
+// Takes a watch's stream apart into lines, and lines into events.
+class WatchReader {
+public:
+  explicit WatchReader(const WatchCallback &OnEvent) : OnEvent(OnEvent) {}
+
+  // False where the watch can't go on.
+  bool take(std::string_view Bytes) {
+    this->Pending += Bytes;
+    size_t Begin = 0;
+    for (size_t End = this->Pending.find('\n'); End != std::string::npos;
+         End = this->Pending.find('\n', Begin)) {
+      std::string_view Line(this->Pending);
+      if (!this->takeLine(Line.substr(Begin, End - Begin))) {
+        return false;
+      }
+      Begin = End + 1;
+    }
+    this->Pending.erase(0, Begin);
+    return this->Pending.size() <= MaxWatchLineBytes;
+  }
+
+  const std::string &reason() const { return this->Reason; }
+
+private:
+  bool takeLine(std::string_view Line) {
+    if (Line.empty()) {
+      return true;
+    }
+    json Answer = parseObject(Line);
+    const json &Result = field(Answer, "result");
+    if (!Result.is_object() || field(Result, "canceled") == json(true)) {
+      this->Reason = "watch canceled: " + textField(Result, "cancel_reason");
+      return false;
+    }
+    for (const json &Item : field(Result, "events")) {
+      if (!this->takeEvent(Item)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  bool takeEvent(const json &Item) {
+    base::Result<KeyValue> Entry = parseKeyValue(field(Item, "kv"));
+    if (!Entry) {
+      this->Reason = Entry.error().Message;
+      return false;
+    }
+    bool IsDelete = textField(Item, "type") == "DELETE";
+    this->OnEvent({IsDelete, std::move(Entry).value()});
+    return true;
+  }
+
+  const WatchCallback &OnEvent;
+  std::string Pending;
+  std::string Reason;
+};
+
+} // namespace
+
+EtcdStore::EtcdStore(base::Address Server, base::Duration CallTimeout,
+                     base::Duration WatchSilence)
+    : Server(Server), CallTimeout(CallTimeout), WatchSilence(WatchSilence) {}
+
+base::Result<json> EtcdStore::post(const char *Path, const json &Body,
+                                   Effect Kind) {
+  bool IsWrite = Kind == Effect::Writes;
+  httplib::Client Client(hostText(this->Server), this->Server.Port);
+  prepare(Client, this->CallTimeout, this->CallTimeout);
+  httplib::Result Answer = Client.Post(Path, Body.dump(), JsonType);
+  if (!Answer && failedBeforeSending(Answer.error())) {
+    return Error{ErrorCode::Unavailable, "store: " + to_string(Answer.error())};
+  }
+  if (!Answer) {
+    return lostAnswer(IsWrite, to_string(Answer.error()));
+  }
+  if (Answer->status != StatusOk) {
+    return refusal(IsWrite, Answer->body);
+  }
+  json Parsed = parseObject(Answer->body);
+  if (Parsed.is_null()) {
+    return lostAnswer(IsWrite, "not a JSON object");
+  }
+  return Parsed;
+}
+
+// Bad fields in an answer are as good as no answer.
+template <typename T>
+static base::Result<T> orLost(bool IsWrite, base::Result<T> Parsed) {
+  if (!Parsed) {
+    return lostAnswer(IsWrite, Parsed.error().Message);
+  }
+  return Parsed;
+}
+
+base::Result<std::optional<KeyValue>> EtcdStore::get(std::string_view Key) {
+  this->Counts.add(StoreCall::Get);
+  json Body = {{"key", base64Text(Key)}};
+  BOOST_OUTCOME_TRY(Answer, this->post(RangePath, Body, Effect::Reads));
+  BOOST_OUTCOME_TRY(List, orLost(false, parseListing(Answer)));
+  if (List.Entries.empty()) {
+    return std::optional<KeyValue>();
+  }
+  return std::optional(std::move(List.Entries.front()));
+}
+
+base::Result<Listing> EtcdStore::list(std::string_view Prefix) {
+  this->Counts.add(StoreCall::List);
+  BOOST_OUTCOME_TRY(Answer,
+                    this->post(RangePath, keyRange(Prefix), Effect::Reads));
+  return orLost(false, parseListing(Answer));
+}
+
+base::Result<SwapResult> EtcdStore::swap(std::string_view Key,
+                                         StoreRevision Expected,
+                                         std::string_view Value,
+                                         LeaseId Lease) {
+  this->Counts.add(StoreCall::Swap);
+  std::string KeyText = base64Text(Key);
+  json Compare = {{"key", KeyText},
+                  {"target", "MOD"},
+                  {"result", "EQUAL"},
+                  {"mod_revision", std::to_string(Expected)}};
+  json Put = {{"request_put", putRequest(Key, Value, Lease)}};
+  json Range = {{"request_range", {{"key", KeyText}}}};
+  json Body = {{"compare", json::array({Compare})},
+               {"success", json::array({Put})},
+               {"failure", json::array({Range})}};
+  BOOST_OUTCOME_TRY(Answer, this->post(TxnPath, Body, Effect::Writes));
+  return orLost(true, parseSwap(Answer));
+}
+
+base::Result<StoreRevision>
+EtcdStore::put(std::string_view Key, std::string_view Value, LeaseId Lease) {
+  this->Counts.add(StoreCall::Put);
+  json Body = putRequest(Key, Value, Lease);
+  BOOST_OUTCOME_TRY(Answer, this->post(PutPath, Body, Effect::Writes));
+  return orLost(true, headerRevision(Answer));
+}
+
+base::Result<void> EtcdStore::remove(std::string_view Key) {
+  this->Counts.add(StoreCall::Remove);
+  json Body = {{"key", base64Text(Key)}};
+  BOOST_OUTCOME_TRY(this->post(DeletePath, Body, Effect::Writes));
+  return boost::outcome_v2::success();
+}
+
+base::Result<LeaseId> EtcdStore::grantLease(base::Duration Ttl) {
+  this->Counts.add(StoreCall::GrantLease);
+  auto Seconds = std::chrono::ceil<std::chrono::seconds>(Ttl).count();
+  json Body = {{"TTL", std::to_string(Seconds)}};
+  BOOST_OUTCOME_TRY(Answer, this->post(GrantPath, Body, Effect::Writes));
+  BOOST_OUTCOME_TRY(Id, orLost(true, integerField(Answer, "ID")));
+  if (Id == 0) {
+    return lostAnswer(true, "lease without an id");
+  }
+  return Id;
+}
+
+base::Result<void> EtcdStore::keepAlive(LeaseId Lease) {
+  this->Counts.add(StoreCall::KeepAlive);
+  json Body = {{"ID", std::to_string(Lease)}};
+  BOOST_OUTCOME_TRY(Answer, this->post(KeepAlivePath, Body, Effect::Writes));
+  BOOST_OUTCOME_TRY(Seconds,
+                    orLost(true, integerField(field(Answer, "result"), "TTL")));
+  if (Seconds <= 0) {
+    return Error{ErrorCode::LeaseExpired, "store: the lease has expired"};
+  }
+  return boost::outcome_v2::success();
+}
+
+base::Result<void> EtcdStore::revokeLease(LeaseId Lease) {
+  this->Counts.add(StoreCall::RevokeLease);
+  json Body = {{"ID", std::to_string(Lease)}};
+  BOOST_OUTCOME_TRY(this->post(RevokePath, Body, Effect::Writes));
+  return boost::outcome_v2::success();
+}
+
+static httplib::Request watchRequest(std::string_view Prefix,
+                                     StoreRevision After) {
+  json Create = keyRange(Prefix);
+  Create["start_revision"] = std::to_string(After + 1);
+  Create["progress_notify"] = true;
+  httplib::Request Request;
+  Request.method = "POST";
+  Request.path = WatchPath;
+  Request.set_header("Content-Type", JsonType);
+  Request.body = json({{"create_request", Create}}).dump();
+  return Request;
+}
+
+base::Result<void> EtcdStore::watch(std::string_view Prefix,
+                                    StoreRevision After,
+                                    const WatchCallback &OnEvent,
+                                    std::stop_token Stop) {
+  this->Counts.add(StoreCall::Watch);
+  httplib::Client Client(hostText(this->Server), this->Server.Port);
+  prepare(Client, this->CallTimeout, this->WatchSilence);
+  WatchReader Reader(OnEvent);
+  httplib::Request Request = watchRequest(Prefix, After);
+  Request.response_handler = [&](const httplib::Response &Response) {
+    return Response.status == StatusOk && !Stop.stop_requested();
+  };
+  Request.content_receiver = [&](const char *Data, size_t Size, uint64_t,
+                                 uint64_t) {
+    return !Stop.stop_requested() && Reader.take({Data, Size});
+  };
+  // Wakes the reading thread by closing its connection.
+  std::stop_callback Wake(Stop, [&Client] { Client.stop(); });
+  if (Stop.stop_requested()) {
+    return boost::outcome_v2::success();
+  }
+  httplib::Result Answer = Client.send(Request);
+  if (Stop.stop_requested()) {
+    return boost::outcome_v2::success();
+  }
+  std::string Cause = Reader.reason();
+  if (Cause.empty()) {
+    Cause = Answer ? "the stream ended" : to_string(Answer.error());
+  }
+  return Error{ErrorCode::Unavailable, "store: watch broke: " + Cause};
+}
+
+} // namespace bilberry::store
