--- a/bilberry/routing/balancer_router.h
+++ b/bilberry/routing/balancer_router.h
@@ -11,6 +11,8 @@
 #include "bilberry/wire/caller_message.h"
 #include "bilberry/wire/data_message.h"
 
+#include <memory>
+#include <set>
 #include <string_view>
 #include <variant>
 
@@ -64,10 +66,25 @@
   size_t cachedFlows() const;
 
 private:
-  // Left to routing/balancer_router.cc's author.
+  using MemberNames = std::set<base::MemberName>;
+
+  Route routeFlow(base::TimePoint Now, const base::ServiceName &Service,
+                  const base::Address &Caller, const wire::FlowPacket &Packet);
+  Route routeRequest(const base::ServiceName &Service, base::RequestId Id);
+  // The first of the placement order that responds and is in service, or the
+  // best that there is.
+  const members::RankedMember *firstForNewWork(const targets::Targets &Document,
+                                               const members::ServiceView &View,
+                                               const base::FlowKey &Key);
+  std::shared_ptr<const MemberNames> unresponsive() const;
+
   const targets::TargetTable &Targets;
   const members::MemberTable &Members;
   FlowCache Cache;
+  mutable base::RankedMutex Mutex{base::LockRank::Counters};
+  // Replaced, never changed, so that readers need no lock while they use it.
+  std::shared_ptr<const MemberNames> Unresponsive =
+      std::make_shared<const MemberNames>();
 };
 
 } // namespace bilberry::routing
--- a/bilberry/routing/rendezvous.h
+++ b/bilberry/routing/rendezvous.h
@@ -34,6 +34,28 @@
 firstRanked(const std::vector<members::RankedMember> &Members,
             const base::FlowKey &Key);
 
+/// The first-ranked of the members that Accepts is true of, or null.
+template <typename Predicate>
+const members::RankedMember *
+firstRankedIf(const std::vector<members::RankedMember> &Members,
+              const base::FlowKey &Key, Predicate Accepts) {
+  const members::RankedMember *Best = nullptr;
+  uint64_t BestScore = 0;
+  for (const members::RankedMember &Member : Members) {
+    if (!Accepts(Member.Value)) {
+      continue;
+    }
+    uint64_t Score = rendezvousScore(Member.NameHash, Key);
+    // Equal scores must not leave the choice to the list's order.
+    if (Best == nullptr || Score > BestScore ||
+        (Score == BestScore && Member.Value.Name < Best->Value.Name)) {
+      Best = &Member;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
 /// The Count first-ranked members, best first.
 std::vector<const members::RankedMember *>
 topRanked(const std::vector<members::RankedMember> &Members,
--- /dev/null
+++ b/bilberry/testing/balancer_router_test.cc
@@ -0,0 +1,220 @@
+#include "bilberry/routing/balancer_router.h"
+
+#include "bilberry/requests/shard_record.h"
+#include "bilberry/routing/rendezvous.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+
+namespace bilberry::routing {
+namespace {
+
+constexpr base::TimePoint Start{std::chrono::hours(24)};
+constexpr base::Address Caller{0x7F000001, 4000};
+const base::ServiceName Rounds("rounds");
+const base::ServiceName Photos("photos");
+const base::ClassName WateringRound("watering-round");
+const base::ClassName CheckOff("check-off");
+const base::ClassName SoilPhoto("soil-photo");
+
+targets::Targets document(base::Revision Revision, bool MobileInService) {
+  targets::Targets Document;
+  Document.Revision = Revision;
+  Document.Classes[WateringRound] = {
+      WateringRound, Rounds, targets::WorkKind::Stream, false, {}, {}};
+  Document.Classes[CheckOff] = {CheckOff, Rounds, targets::WorkKind::Request,
+                                false,    {},     {}};
+  Document.Classes[SoilPhoto] = {SoilPhoto, Photos, targets::WorkKind::Upload,
+                                 false,     {},     {}};
+  Document.DataCentres[base::DataCentreName("mobile")] = MobileInService;
+  return Document;
+}
+
+constexpr uint64_t Flows = 200;
+
+// A router with four agents for rounds.
+struct Bed {
+  Bed() {
+    this->Targets.advance(document(1, true), "");
+    for (uint16_t Index = 0; Index < 4; ++Index) {
+      this->putAgent(Index, members::MemberState::InService);
+    }
+  }
+
+  static base::MemberName nameOf(uint16_t Index) {
+    return base::MemberName("agent-" + std::to_string(Index));
+  }
+
+  // The odd ones are in mobile.
+  void putAgent(uint16_t Index, members::MemberState State) {
+    members::Member Agent;
+    Agent.Name = nameOf(Index);
+    Agent.Run = 1;
+    Agent.State = State;
+    Agent.DataCentre =
+        base::DataCentreName(Index % 2 == 1 ? "mobile" : "jackson");
+    Agent.Service = Rounds;
+    Agent.Data = {0x7F000001, static_cast<uint16_t>(5000 + Index)};
+    this->Members.put(Start, Agent);
+  }
+
+  Route routeFlow(uint64_t Connection, uint8_t Flags,
+                  const base::ClassName &Class = WateringRound) {
+    wire::FlowPacket Packet{Class, Connection, Flags, 0, "x"};
+    return this->Router.route(Start, Rounds, Caller, Packet);
+  }
+
+  base::MemberName firstOfPlacement(const base::FlowKey &Key) {
+    return firstRanked(this->Members.view(Rounds)->Placement, Key)->Value.Name;
+  }
+  base::MemberName firstOfLookup(const base::FlowKey &Key) {
+    return firstRanked(this->Members.view(Rounds)->Lookup, Key)->Value.Name;
+  }
+  static base::FlowKey keyOf(uint64_t Connection) {
+    return flowKey(Rounds, Caller, Connection);
+  }
+
+  targets::TargetTable Targets;
+  members::MemberTable Members;
+  BalancerRouter Router{this->Targets, this->Members, 1000};
+};
+
+TEST(BalancerRouter, NewFlowsGoByPlacementAndOldOnesByLookup) {
+  Bed Setup;
+  Setup.putAgent(1, members::MemberState::Draining);
+  int DrainingIsFirst = 0;
+  for (uint64_t Connection = 0; Connection < Flows; ++Connection) {
+    base::FlowKey Key = Bed::keyOf(Connection);
+    Route New = Setup.routeFlow(Connection, wire::FlowOpen);
+    EXPECT_EQ(New.Reason, RouteReason::NewFlow);
+    EXPECT_EQ(New.Receiver, Setup.firstOfPlacement(Key));
+    EXPECT_NE(New.Receiver, Bed::nameOf(1));
+    EXPECT_EQ(New.To, Setup.Members.find(New.Receiver)->Data);
+
+    Route Old = Setup.routeFlow(Connection, 0);
+    EXPECT_EQ(Old.Reason, RouteReason::LookupFirst);
+    EXPECT_EQ(Old.Receiver, Setup.firstOfLookup(Key));
+    DrainingIsFirst += Old.Receiver == Bed::nameOf(1) ? 1 : 0;
+  }
+  EXPECT_GT(DrainingIsFirst, 0);
+}
+
+TEST(BalancerRouter, CacheGoesFirstAndFallsBack) {
+  struct Case {
+    const char *What;
+    std::function<void(Bed &)> Change;
+    RouteReason Expected;
+  };
+  const Case Cases[] = {
+      {"nothing changed", [](auto &) {}, RouteReason::Cached},
+      {"holder drains",
+       [](Bed &T) { T.putAgent(1, members::MemberState::Draining); },
+       RouteReason::Cached},
+      {"holder doesn't respond",
+       [](Bed &T) { T.Router.setUnresponsive(Bed::nameOf(1), true); },
+       RouteReason::Cached},
+      {"holder is gone", [](Bed &T) { T.Members.remove(Bed::nameOf(1)); },
+       RouteReason::LookupFirst},
+      {"holder's data centre is out, by the members",
+       [](Bed &T) {
+         T.Members.setOutOfService({base::DataCentreName("mobile")});
+       },
+       RouteReason::LookupFirst},
+      {"holder's data centre is out, by the targets alone",
+       [](Bed &T) { T.Targets.advance(document(2, false), ""); },
+       RouteReason::LookupFirst},
+  };
+  for (const Case &Tried : Cases) {
+    SCOPED_TRACE(Tried.What);
+    Bed Fresh;
+    for (uint64_t Connection = 0; Connection < Flows; ++Connection) {
+      Fresh.Router.onHolderHint(Start,
+                                {Bed::keyOf(Connection), Bed::nameOf(1)});
+    }
+    Tried.Change(Fresh);
+    for (uint64_t Connection = 0; Connection < Flows; ++Connection) {
+      Route Chosen = Fresh.routeFlow(Connection, 0);
+      ASSERT_EQ(Chosen.Reason, Tried.Expected);
+      ASSERT_EQ(Chosen.Receiver == Bed::nameOf(1),
+                Tried.Expected == RouteReason::Cached);
+    }
+  }
+}
+
+TEST(BalancerRouter, UnresponsiveMembersAreOnlyForOldFlows) {
+  Bed Setup;
+  Setup.Router.setUnresponsive(Bed::nameOf(2), true);
+  for (uint64_t Connection = 0; Connection < Flows; ++Connection) {
+    EXPECT_NE(Setup.routeFlow(Connection, wire::FlowOpen).Receiver,
+              Bed::nameOf(2));
+    EXPECT_EQ(Setup.routeFlow(Connection, 0).Receiver,
+              Setup.firstOfLookup(Bed::keyOf(Connection)));
+    wire::CancelPacket Cancel{{Connection, 1}, 0};
+    EXPECT_NE(Setup.Router.route(Start, Rounds, Caller, Cancel).Receiver,
+              Bed::nameOf(2));
+  }
+  Setup.Router.setUnresponsive(Bed::nameOf(2), false);
+  for (uint64_t Connection = 0; Connection < Flows; ++Connection) {
+    EXPECT_EQ(Setup.routeFlow(Connection, wire::FlowOpen).Receiver,
+              Setup.firstOfPlacement(Bed::keyOf(Connection)));
+  }
+}
+
+TEST(BalancerRouter, NoOneRespondsIsNoReasonToDrop) {
+  Bed Setup;
+  for (uint16_t Index = 0; Index < 4; ++Index) {
+    Setup.Router.setUnresponsive(Bed::nameOf(Index), true);
+  }
+  EXPECT_EQ(Setup.routeFlow(1, wire::FlowOpen).Receiver,
+            Setup.firstOfPlacement(Bed::keyOf(1)));
+}
+
+TEST(BalancerRouter, RequestsAndCancelsFollowTheirShard) {
+  Bed Setup;
+  Setup.putAgent(0, members::MemberState::Draining);
+  for (uint64_t Index = 0; Index < Flows; ++Index) {
+    base::RequestId Id{Index, Index * 7};
+    base::FlowKey Key = shardKey(Rounds, requests::shardOf(Id));
+    wire::RequestPacket Request{CheckOff, 1, Id, 0, Start, "x"};
+    wire::CancelPacket Cancel{Id, 0};
+    for (const wire::CallerPacket &Packet :
+         {wire::CallerPacket(Request), wire::CallerPacket(Cancel)}) {
+      Route Chosen = Setup.Router.route(Start, Rounds, Caller, Packet);
+      EXPECT_EQ(Chosen.Reason, RouteReason::RequestShard);
+      EXPECT_EQ(Chosen.Receiver, Setup.firstOfPlacement(Key));
+    }
+  }
+}
+
+TEST(BalancerRouter, DropsWhatIsntTheServices) {
+  Bed Setup;
+  wire::RequestPacket StreamAsRequest{WateringRound, 1, {1, 2}, 0, Start, ""};
+  wire::FlowPacket OtherService{SoilPhoto, 1, wire::FlowOpen, 0, ""};
+  wire::FlowPacket Unknown{base::ClassName("none"), 1, wire::FlowOpen, 0, ""};
+  wire::FlowPacket RequestAsFlow{CheckOff, 1, wire::FlowOpen, 0, ""};
+  wire::FlowPacket NoMembers{SoilPhoto, 1, wire::FlowOpen, 0, ""};
+  struct Case {
+    wire::CallerPacket Packet;
+    base::ServiceName Service;
+    RouteReason Expected;
+  };
+  const Case Cases[] = {
+      {StreamAsRequest, Rounds, RouteReason::WrongService},
+      {OtherService, Rounds, RouteReason::WrongService},
+      {Unknown, Rounds, RouteReason::WrongService},
+      {RequestAsFlow, Rounds, RouteReason::WrongService},
+      {NoMembers, Photos, RouteReason::NoMember},
+  };
+  for (const Case &Tried : Cases) {
+    // Even where the cache names a holder.
+    Setup.Router.onHolderHint(Start, {Bed::keyOf(1), Bed::nameOf(0)});
+    Route Chosen =
+        Setup.Router.route(Start, Tried.Service, Caller, Tried.Packet);
+    EXPECT_EQ(Chosen.Reason, Tried.Expected);
+    EXPECT_TRUE(Chosen.Receiver.empty());
+    EXPECT_EQ(Chosen.To, base::Address());
+  }
+}
+
+} // namespace
+} // namespace bilberry::routing
--- /dev/null
+++ b/bilberry/testing/rendezvous_test.cc
@@ -0,0 +1,140 @@
+#include "bilberry/routing/rendezvous.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+
+namespace bilberry::routing {
+namespace {
+
+constexpr uint32_t MaxMembers = 6;
+constexpr uint64_t KeysPerSet = 200;
+constexpr uint64_t KeysForShares = 20000;
+
+members::RankedMember rankedMember(uint32_t Index) {
+  members::RankedMember Ranked;
+  Ranked.Value.Name = base::MemberName("agent-" + std::to_string(Index));
+  Ranked.NameHash = memberHash(Ranked.Value.Name);
+  return Ranked;
+}
+
+std::vector<members::RankedMember> memberSet(uint32_t Bits) {
+  std::vector<members::RankedMember> Members;
+  for (uint32_t Index = 0; Index < MaxMembers; ++Index) {
+    if ((Bits >> Index) & 1) {
+      Members.push_back(rankedMember(Index));
+    }
+  }
+  return Members;
+}
+
+base::FlowKey keyOf(uint64_t Connection) {
+  return flowKey(base::ServiceName("rounds"), {0x7F000001, 4000}, Connection);
+}
+
+// Slow and obvious: sort every member by its score.
+std::vector<std::string>
+sortedNames(const std::vector<members::RankedMember> &Members,
+            const base::FlowKey &Key) {
+  std::multimap<uint64_t, std::string, std::greater<>> Sorted;
+  for (const members::RankedMember &Member : Members) {
+    Sorted.emplace(rendezvousScore(memberHash(Member.Value.Name), Key),
+                   Member.Value.Name.text());
+  }
+  std::vector<std::string> Names;
+  Names.reserve(Sorted.size());
+  for (const auto &[Score, Name] : Sorted) {
+    Names.push_back(Name);
+  }
+  return Names;
+}
+
+std::vector<std::string>
+namesOf(const std::vector<const members::RankedMember *> &Members) {
+  std::vector<std::string> Names;
+  Names.reserve(Members.size());
+  for (const members::RankedMember *Member : Members) {
+    Names.push_back(Member->Value.Name.text());
+  }
+  return Names;
+}
+
+TEST(Rendezvous, AgreesWithSortOverAllSmallMemberSets) {
+  for (uint32_t Bits = 0; Bits < (1U << MaxMembers); ++Bits) {
+    std::vector<members::RankedMember> Members = memberSet(Bits);
+    std::vector<members::RankedMember> Reversed(Members.rbegin(),
+                                                Members.rend());
+    for (uint64_t Connection = 0; Connection < KeysPerSet; ++Connection) {
+      base::FlowKey Key = keyOf(Connection);
+      std::vector<std::string> Expected = sortedNames(Members, Key);
+      ASSERT_EQ(namesOf(topRanked(Members, Key, MaxMembers)), Expected);
+      ASSERT_EQ(namesOf(topRanked(Reversed, Key, MaxMembers)), Expected);
+      size_t Two = std::min<size_t>(2, Expected.size());
+      std::vector<std::string> FirstTwo(Expected.begin(),
+                                        Expected.begin() + Two);
+      ASSERT_EQ(namesOf(topRanked(Members, Key, 2)), FirstTwo);
+      const members::RankedMember *First = firstRanked(Reversed, Key);
+      ASSERT_EQ(First == nullptr, Expected.empty());
+      if (First != nullptr) {
+        ASSERT_EQ(First->Value.Name.text(), Expected.front());
+      }
+    }
+  }
+}
+
+TEST(Rendezvous, JoinAndLeaveMoveOnlyTheMembersOwnKeys) {
+  for (uint32_t Bits = 1; Bits < (1U << MaxMembers); ++Bits) {
+    std::vector<members::RankedMember> All = memberSet(Bits);
+    for (uint32_t Gone = 0; Gone < MaxMembers; ++Gone) {
+      if (((Bits >> Gone) & 1) == 0) {
+        continue;
+      }
+      std::vector<members::RankedMember> Rest = memberSet(Bits & ~(1U << Gone));
+      std::string GoneName = "agent-" + std::to_string(Gone);
+      for (uint64_t Connection = 0; Connection < KeysPerSet; ++Connection) {
+        base::FlowKey Key = keyOf(Connection);
+        std::vector<std::string> Before =
+            namesOf(topRanked(All, Key, MaxMembers));
+        std::erase(Before, GoneName);
+        ASSERT_EQ(namesOf(topRanked(Rest, Key, MaxMembers)), Before);
+      }
+    }
+  }
+}
+
+TEST(Rendezvous, SharesKeysEvenly) {
+  std::vector<members::RankedMember> Members =
+      memberSet((1U << MaxMembers) - 1);
+  std::map<std::string, uint64_t> Shares;
+  for (uint64_t Connection = 0; Connection < KeysForShares; ++Connection) {
+    ++Shares[firstRanked(Members, keyOf(Connection))->Value.Name.text()];
+  }
+  ASSERT_EQ(Shares.size(), MaxMembers);
+  uint64_t Even = KeysForShares / MaxMembers;
+  for (const auto &[Name, Share] : Shares) {
+    EXPECT_GT(Share, Even * 9 / 10) << Name;
+    EXPECT_LT(Share, Even * 11 / 10) << Name;
+  }
+}
+
+TEST(Rendezvous, KeysDependOnEveryPart) {
+  base::ServiceName Rounds("rounds");
+  base::Address Caller{0x7F000001, 4000};
+  std::set<base::FlowKey> Keys = {
+      flowKey(Rounds, Caller, 1),
+      flowKey(Rounds, Caller, 2),
+      flowKey(base::ServiceName("photos"), Caller, 1),
+      flowKey(Rounds, {0x7F000002, 4000}, 1),
+      flowKey(Rounds, {0x7F000001, 4001}, 1),
+      requestKey({1, 2}),
+      requestKey({2, 1}),
+      shardKey(Rounds, 1),
+      shardKey(Rounds, 2),
+      shardKey(base::ServiceName("photos"), 1),
+  };
+  EXPECT_EQ(Keys.size(), 10U);
+}
+
+} // namespace
+} // namespace bilberry::routing
