--- /dev/null
+++ b/bilberry/admission/upstream_limits.cc
@@ -0,0 +1,103 @@
+#include "bilberry/admission/upstream_limits.h"
+
+namespace bilberry::admission {
+
+void UpstreamLimits::setCapacity(const targets::UpstreamCapacity &Capacity) {
+  LimitRule Rule;
+  Rule.CompletionsPerStep = Capacity.CompletionsPerSlot;
+  Rule.LatencyBound = Capacity.LatencyBound;
+  std::lock_guard Lock(this->Mutex);
+  Rule.Floor = Capacity.ColdSlots;
+  Rule.Ceiling = Capacity.Slots;
+  this->Slots.setRule(Rule);
+  Rule.Floor = Capacity.ColdConnections;
+  Rule.Ceiling = Capacity.Connections;
+  this->Connections.setRule(Rule);
+}
+
+bool UpstreamLimits::acquireSlot(base::TimePoint) {
+  std::lock_guard Lock(this->Mutex);
+  return this->Slots.acquire();
+}
+
+void UpstreamLimits::releaseSlot(base::TimePoint Now, Completion How,
+                                 base::Duration Took) {
+  std::lock_guard Lock(this->Mutex);
+  this->Slots.learn(Now, How, Took);
+  this->Slots.release();
+}
+
+bool UpstreamLimits::acquireConnection(base::TimePoint) {
+  std::lock_guard Lock(this->Mutex);
+  return this->Connections.acquire();
+}
+
+void UpstreamLimits::connectionSettled(base::TimePoint Now, Completion How,
+                                       base::Duration Took) {
+  std::lock_guard Lock(this->Mutex);
+  this->Connections.learn(Now, How, Took);
+  if (How != Completion::Done) {
+    this->Connections.release();
+  }
+}
+
+void UpstreamLimits::flowProgressed(base::TimePoint Now, base::Duration Took) {
+  std::lock_guard Lock(this->Mutex);
+  this->Connections.learn(Now, Completion::Done, Took);
+}
+
+void UpstreamLimits::releaseConnection(base::TimePoint) {
+  std::lock_guard Lock(this->Mutex);
+  this->Connections.release();
+}
+
+void UpstreamLimits::adoptConnections(base::TimePoint, uint32_t Count) {
+  std::lock_guard Lock(this->Mutex);
+  this->Connections.adopt(Count);
+}
+
+void UpstreamLimits::onUpstreamRestart(base::TimePoint) {
+  std::lock_guard Lock(this->Mutex);
+  this->Slots.dropHeld();
+  this->Slots.fallToFloor();
+  this->Connections.dropHeld();
+  this->Connections.fallToFloor();
+}
+
+void UpstreamLimits::onHealthReport(base::TimePoint Now, bool IsHealthy,
+                                    double Load) {
+  std::lock_guard Lock(this->Mutex);
+  bool IsOverloaded = !IsHealthy || Load >= OverloadedLoad;
+  if (IsOverloaded && !this->WasOverloaded) {
+    this->Slots.decrease(Now);
+    this->Connections.decrease(Now);
+  }
+  this->WasOverloaded = IsOverloaded;
+}
+
+bool UpstreamLimits::takeRetryToken(base::TimePoint) {
+  std::lock_guard Lock(this->Mutex);
+  return this->Retries.take();
+}
+
+void UpstreamLimits::noteFreshWork(base::TimePoint) {
+  std::lock_guard Lock(this->Mutex);
+  this->Retries.noteFreshWork();
+}
+
+LimitStatus UpstreamLimits::status() const {
+  std::lock_guard Lock(this->Mutex);
+  LimitStatus Status;
+  Status.SlotLimit = this->Slots.limit();
+  Status.SlotsInUse = this->Slots.inUse();
+  Status.ConnectionLimit = this->Connections.limit();
+  Status.ConnectionsInUse = this->Connections.inUse();
+  Status.IsCold = this->Slots.isAtFloor() && this->Connections.isAtFloor() &&
+                  (this->Slots.canRise() || this->Connections.canRise());
+  Status.Sheds = this->Slots.sheds() + this->Connections.sheds();
+  Status.FallsToFloor =
+      this->Slots.fallsToFloor() + this->Connections.fallsToFloor();
+  return Status;
+}
+
+} // namespace bilberry::admission
--- a/bilberry/admission/upstream_limits.h
+++ b/bilberry/admission/upstream_limits.h
@@ -1,11 +1,13 @@
 // What our upstream gets at once. The working limit for slots starts at the
 // cold floor and rises only on completions that we saw inside the latency
 // bound; it halves on a shed, a timeout or a latency jump, and falls to the
-// floor when the upstream may have restarted: its connection was lost, or it
-// sheds in a burst. Connections follow the same rule, with opened flows as
-// completions. Health and load reports may lower a limit, never raise it.
-// The rule is additive increase, multiplicative decrease (Chiu and Jain, 1989)
-// with slow restart.
+// floor when the upstream may have restarted: its connection was lost, it
+// sheds in a burst, or it sheds at a level that it has borne before
+// (working_limit.h). Connections follow the same rule; their completions are
+// opened flows and acknowledged packets, since long flows would otherwise
+// never show that the upstream bears more. Health and load reports may lower a
+// limit, never raise it. The rule is additive increase, multiplicative decrease
+// (Chiu and Jain, 1989) with slow restart.
 
 #ifndef BILBERRY_ADMISSION_UPSTREAM_LIMITS_H
 #define BILBERRY_ADMISSION_UPSTREAM_LIMITS_H
@@ -18,18 +20,6 @@
 
 namespace bilberry::admission {
 
-/// How a piece of work that held a slot or a connection ended.
-enum class Completion : uint8_t {
-  /// Answered; the time it took counts.
-  Done,
-  /// The upstream refused it as too much.
-  Shed,
-  /// No answer in time.
-  Timeout,
-  /// Cancelled, refused for another reason, or failed: says nothing of load.
-  Neutral,
-};
-
 /// What status and metrics tell.
 struct LimitStatus {
   uint32_t SlotLimit = 0;
@@ -41,6 +31,9 @@
   uint64_t FallsToFloor = 0;
 };
 
+/// From this load on, a health report counts as one of overload.
+inline constexpr double OverloadedLoad = 1.0;
+
 /// Thread-safe: one mutex of rank Limits.
 class UpstreamLimits {
 public:
@@ -59,15 +52,20 @@
   /// connection stays held after Done and is given back otherwise.
   void connectionSettled(base::TimePoint Now, Completion How,
                          base::Duration Took);
+  /// The upstream has acknowledged a packet of an open flow: it bears the
+  /// connections that it has.
+  void flowProgressed(base::TimePoint Now, base::Duration Took);
   /// Gives back the connection of a flow that has ended.
   void releaseConnection(base::TimePoint Now);
   /// Takes connections without asking, for flows restored after a restart.
   void adoptConnections(base::TimePoint Now, uint32_t Count);
 
   /// The upstream's connection was lost or made anew: nothing is held, and
-  /// the limits fall to the cold floor.
+  /// the limits fall to the cold floor. Don't release what was held before.
   void onUpstreamRestart(base::TimePoint Now);
-  /// Its own report; may lower the limits, never raise them.
+  /// Its own report; may lower the limits, never raise them. Only a change
+  /// for the worse lowers them, so that an endpoint that always complains
+  /// can't hold an upstream that works at the floor.
   void onHealthReport(base::TimePoint Now, bool IsHealthy, double Load);
 
   /// Takes a token for passing work on. Fresh work earns them.
@@ -78,6 +76,10 @@
 
 private:
   mutable base::RankedMutex Mutex{base::LockRank::Limits};
+  WorkingLimit Slots;
+  WorkingLimit Connections;
+  RetryBudget Retries;
+  bool WasOverloaded = false;
 };
 
 } // namespace bilberry::admission
