Add the codec between agent and upstream

Aim: the agent and the upstream stand-in read and write one protocol. Change: wire/upstream_message.cc; the element reader of the callers' codec moves to wire/message_parts.h, since both use it.

--- a/bilberry/wire/caller_message.cc
+++ b/bilberry/wire/caller_message.cc
@@ -1,73 +1,19 @@
 #include "bilberry/wire/caller_message.h"
 
 #include "bilberry/wire/codec.h"
+#include "bilberry/wire/message_parts.h"
 #include "bilberry/wire/time_format.h"
 
 #include <algorithm>
 
 namespace bilberry::wire {
 
-// The message types of MessagePack-RPC.
-static constexpr uint32_t RpcRequest = 0;
-static constexpr uint32_t RpcResponse = 1;
-static constexpr uint32_t RpcNotification = 2;
-
 static constexpr std::string_view CancelMethod = "cancel";
 static constexpr std::string_view FlowMethod = "flow";
 
 // The largest body in one chunk of an answer; leaves room for the header.
 static constexpr size_t MaxChunkBytes = 32 * 1024;
 
-namespace {
-
-// Reads an array's elements in turn. Throws msgpack::type_error where one is
-// missing or of another type, which the parse functions turn into an error.
-class ElementReader {
-public:
-  explicit ElementReader(const msgpack::object &Object) {
-    if (Object.type != msgpack::type::ARRAY) {
-      throw msgpack::type_error();
-    }
-    this->Next = Object.via.array.ptr;
-    this->End = this->Next + Object.via.array.size;
-  }
-
-  const msgpack::object &next() {
-    if (this->Next == this->End) {
-      throw msgpack::type_error();
-    }
-    return *this->Next++;
-  }
-
-  template <typename T> T as() { return this->next().as<T>(); }
-
-  // A string or binary, as a view into the parsed bytes.
-  std::string_view view() {
-    const msgpack::object &Object = this->next();
-    if (Object.type == msgpack::type::BIN) {
-      return {Object.via.bin.ptr, Object.via.bin.size};
-    }
-    if (Object.type == msgpack::type::STR) {
-      return {Object.via.str.ptr, Object.via.str.size};
-    }
-    throw msgpack::type_error();
-  }
-
-  void finish() const {
-    if (this->Next != this->End) {
-      throw msgpack::type_error();
-    }
-  }
-
-private:
-  const msgpack::object *Next = nullptr;
-  const msgpack::object *End = nullptr;
-};
-
-using Packer = msgpack::packer<msgpack::sbuffer>;
-
-} // namespace
-
 // Keeps strings and binaries in place instead of copying them.
 static bool referToInput(msgpack::type::object_type, size_t, void *) {
   return true;
@@ -154,23 +100,14 @@
   }
 }
 
-static std::string bufferText(const msgpack::sbuffer &Buffer) {
-  return std::string(Buffer.data(), Buffer.size());
-}
-
-static void packBody(Packer &Out, std::string_view Body) {
-  Out.pack_bin(static_cast<uint32_t>(Body.size()));
-  Out.pack_bin_body(Body.data(), static_cast<uint32_t>(Body.size()));
-}
-
-static void packId(Packer &Out, base::RequestId Id) {
+static void packId(MessagePacker &Out, base::RequestId Id) {
   Out.pack(Id.High);
   Out.pack(Id.Low);
 }
 
 std::string flowPacketBytes(const FlowPacket &Packet) {
   msgpack::sbuffer Buffer;
-  Packer Out(Buffer);
+  MessagePacker Out(Buffer);
   Out.pack_array(3);
   Out.pack(RpcNotification);
   Out.pack(Packet.Class.text());
@@ -184,7 +121,7 @@
 
 std::string requestPacketBytes(const RequestPacket &Packet) {
   msgpack::sbuffer Buffer;
-  Packer Out(Buffer);
+  MessagePacker Out(Buffer);
   Out.pack_array(4);
   Out.pack(RpcRequest);
   Out.pack(Packet.MessageId);
@@ -199,7 +136,7 @@
 
 std::string cancelPacketBytes(const CancelPacket &Packet) {
   msgpack::sbuffer Buffer;
-  Packer Out(Buffer);
+  MessagePacker Out(Buffer);
   Out.pack_array(3);
   Out.pack(RpcNotification);
   Out.pack(CancelMethod);
@@ -233,7 +170,7 @@
 
 std::string flowReplyBytes(const FlowReply &Reply) {
   msgpack::sbuffer Buffer;
-  Packer Out(Buffer);
+  MessagePacker Out(Buffer);
   Out.pack_array(3);
   Out.pack(RpcNotification);
   Out.pack(FlowMethod);
@@ -249,7 +186,7 @@
                               uint32_t Chunk, uint32_t Chunks,
                               std::string_view Body) {
   msgpack::sbuffer Buffer;
-  Packer Out(Buffer);
+  MessagePacker Out(Buffer);
   Out.pack_array(4);
   Out.pack(RpcResponse);
   Out.pack(MessageId);
@@ -279,7 +216,7 @@
                                 bool IsNotRun, RefusalReason Reason,
                                 base::Duration RetryAfter) {
   msgpack::sbuffer Buffer;
-  Packer Out(Buffer);
+  MessagePacker Out(Buffer);
   Out.pack_array(4);
   Out.pack(RpcResponse);
   Out.pack(MessageId);
--- a/bilberry/wire/upstream_message.h
+++ b/bilberry/wire/upstream_message.h
@@ -22,6 +22,7 @@
 #include "bilberry/base/error.h"
 #include "bilberry/base/ids.h"
 #include "bilberry/wire/caller_message.h"
+#include "bilberry/wire/codec.h"
 
 #include <cstdint>
 #include <string>
@@ -99,6 +100,9 @@
 std::string upstreamBytes(const ToUpstream &Message);
 std::string upstreamBytes(const FromUpstream &Message);
 
+/// What a reader's buffer holds before a larger message makes it grow.
+inline constexpr size_t InitialBufferBytes = 64 * 1024;
+
 /// Takes a TCP connection's bytes apart into messages, keeping what is left
 /// for the next call. Not safe for two threads at once.
 template <typename Message> class UpstreamReader {
@@ -108,7 +112,8 @@
   base::Result<void> feed(std::string_view Bytes, std::vector<Message> &Out);
 
 private:
-  msgpack::unpacker Unpacker;
+  msgpack::unpacker Unpacker{nullptr, nullptr, InitialBufferBytes,
+                             unpackLimit()};
 };
 
 extern template class UpstreamReader<ToUpstream>;
