--- /dev/null
+++ b/bilberry/agent/snapshot_keeper.cc
@@ -0,0 +1,42 @@
+#include "bilberry/agent/snapshot_keeper.h"
+
+#include <mutex>
+
+namespace bilberry::agent {
+
+bool SnapshotKeeper::put(base::TimePoint Now,
+                         const wire::SnapshotPut &Snapshot) {
+  std::lock_guard Lock(this->Mutex);
+  auto It = this->Entries.find(Snapshot.Of);
+  if (It == this->Entries.end()) {
+    if (this->Entries.size() >= MaxSnapshots) {
+      return false;
+    }
+    this->Entries[Snapshot.Of] = {Snapshot, Now};
+    return true;
+  }
+  if (It->second.Snapshot.Run <= Snapshot.Run) {
+    It->second = {Snapshot, Now};
+  }
+  return true;
+}
+
+wire::SnapshotReply SnapshotKeeper::fetch(base::TimePoint Now,
+                                          const base::MemberName &Of) const {
+  std::lock_guard Lock(this->Mutex);
+  auto It = this->Entries.find(Of);
+  if (It == this->Entries.end() || Now - It->second.KeptAt > SnapshotAge) {
+    return {Of, false, 0, {}};
+  }
+  const wire::SnapshotPut &Kept = It->second.Snapshot;
+  return {Of, true, Kept.Run, Kept.State};
+}
+
+void SnapshotKeeper::tick(base::TimePoint Now) {
+  std::lock_guard Lock(this->Mutex);
+  std::erase_if(this->Entries, [Now](const auto &Item) {
+    return Now - Item.second.KeptAt > SnapshotAge;
+  });
+}
+
+} // namespace bilberry::agent
--- /dev/null
+++ b/bilberry/balancer/balancer_core.cc
@@ -0,0 +1,24 @@
+#include "bilberry/balancer/balancer_core.h"
+
+#include "bilberry/log/log.h"
+
+#include <string>
+
+namespace bilberry::balancer {
+
+void BalancerCore::logRoute(base::TimePoint Now,
+                            const wire::FabricEnvelope &Envelope,
+                            const routing::Route &Route) {
+  // A cached flow was decided on when it was new.
+  if (Route.Reason == routing::RouteReason::Cached) {
+    return;
+  }
+  if (Route.To.Port == 0 && !this->DropLines.allow(Now)) {
+    return;
+  }
+  std::string Subject =
+      Envelope.Service.text() + "/" + base::addressText(Envelope.Caller);
+  log::route(Subject, Route);
+}
+
+} // namespace bilberry::balancer
--- /dev/null
+++ b/bilberry/node/status_server.cc
@@ -0,0 +1,55 @@
+#include "bilberry/node/status_server.h"
+
+#include <arpa/inet.h>
+#include <httplib.h>
+#include <thread>
+#include <utility>
+
+namespace bilberry::node {
+
+// Pages are asked for seldom; more threads would only take memory.
+static constexpr size_t ServerThreads = 2;
+
+struct StatusServer::Impl {
+  httplib::Server Server;
+  std::thread Thread;
+};
+
+static void servePage(httplib::Server &Server, const char *Path,
+                      PageBuilder Build, const char *ContentType) {
+  Server.Get(Path, [Build = std::move(Build), ContentType](
+                       const httplib::Request &, httplib::Response &Answer) {
+    Answer.set_content(Build(), ContentType);
+  });
+}
+
+StatusServer::StatusServer(PageBuilder Metrics, PageBuilder Status)
+    : Inner(std::make_unique<Impl>()) {
+  httplib::Server &Server = this->Inner->Server;
+  Server.new_task_queue = [] { return new httplib::ThreadPool(ServerThreads); };
+  servePage(Server, "/metrics", std::move(Metrics),
+            "text/plain; version=0.0.4");
+  servePage(Server, "/status", std::move(Status), "application/json");
+}
+
+StatusServer::~StatusServer() {
+  this->Inner->Server.stop();
+  if (this->Inner->Thread.joinable()) {
+    this->Inner->Thread.join();
+  }
+}
+
+base::Result<void> StatusServer::start(const base::Address &At) {
+  in_addr Ip = {htonl(At.Ip)};
+  char Host[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &Ip, Host, sizeof(Host));
+  if (!this->Inner->Server.bind_to_port(Host, At.Port)) {
+    return base::Error{base::ErrorCode::System,
+                       "can't serve metrics on " + base::addressText(At)};
+  }
+  this->Inner->Thread =
+      std::thread([this] { this->Inner->Server.listen_after_bind(); });
+  return boost::outcome_v2::success();
+}
+
+} // namespace bilberry::node
