--- a/bilberry/board/local_member.h
+++ b/bilberry/board/local_member.h
@@ -27,6 +27,14 @@
     std::lock_guard Lock(this->Mutex);
     this->Value.State = State;
   }
+  /// Sets the state, but only where it is From. A process that drains is so
+  /// never put back into service by a report that came before.
+  void changeState(members::MemberState From, members::MemberState To) {
+    std::lock_guard Lock(this->Mutex);
+    if (this->Value.State == From) {
+      this->Value.State = To;
+    }
+  }
   /// Sets the revision of the targets that this process has applied.
   void setApplied(base::Revision Revision) {
     std::lock_guard Lock(this->Mutex);
--- /dev/null
+++ b/bilberry/node/node.cc
@@ -0,0 +1,156 @@
+#include "bilberry/node/node.h"
+
+#include "bilberry/log/log.h"
+#include "bilberry/node/view_exchange.h"
+#include "bilberry/store/keys.h"
+#include "bilberry/store/prefix_watcher.h"
+#include "bilberry/targets/target_store.h"
+
+#include <string>
+#include <utility>
+
+namespace bilberry::node {
+
+// A run's number: later runs of one name on one VM are higher as long as the
+// VM's clock doesn't go back between them.
+static base::Incarnation newIncarnation(const base::SteadyClock &Clock) {
+  return static_cast<base::Incarnation>(
+      std::chrono::floor<std::chrono::microseconds>(
+          Clock.now().time_since_epoch())
+          .count());
+}
+
+static members::Member selfOf(const settings::ProcessSettings &Settings,
+                              members::MemberRole Role,
+                              const base::SteadyClock &Clock) {
+  members::Member Self;
+  Self.Name = Settings.Name;
+  Self.Run = newIncarnation(Clock);
+  Self.Role = Role;
+  Self.State = Role == members::MemberRole::Agent
+                   ? members::MemberState::Cold
+                   : members::MemberState::InService;
+  Self.DataCentre = Settings.DataCentre;
+  Self.Service = Settings.Service;
+  Self.Data = Settings.Data;
+  Self.Control = Settings.Control;
+  return Self;
+}
+
+Node::Node(const settings::ProcessSettings &Settings, members::MemberRole Role)
+    : Settings(Settings), Self(selfOf(Settings, Role, this->Clock)),
+      Links(this->Self), Store(Settings.Store, Settings.StoreTimeout),
+      Pauses(this->Clock.now(), PauseBound),
+      Announcer(this->Store, this->Self, this->Clock),
+      Watcher(this->Store, this->Members, this->Clock) {}
+
+Node::~Node() {
+  for (std::jthread &Follower : this->Followers) {
+    Follower.request_stop();
+  }
+}
+
+base::Result<void> Node::start() {
+  if (base::Result<void> Listening = this->Links.listen(this->Settings.Control);
+      !Listening) {
+    return Listening;
+  }
+  this->Followers.emplace_back(
+      [this](const std::stop_token &Stop) { this->Watcher.run(Stop); });
+  this->Followers.emplace_back(
+      [this](const std::stop_token &Stop) { this->followTargets(Stop); });
+  return boost::outcome_v2::success();
+}
+
+void Node::announce() {
+  this->Followers.emplace_back(
+      [this](const std::stop_token &Stop) { this->Announcer.run(Stop); });
+}
+
+void Node::leave() {
+  this->Self.setState(members::MemberState::Leaving);
+  this->Announcer.withdraw();
+}
+
+void Node::takeTargets(const store::KeyValue &Entry) {
+  base::Result<targets::StoredTargets> Stored =
+      targets::parseStoredTargets(Entry.Value);
+  if (!Stored) {
+    log::error("event=bad-targets reason=\"" + Stored.error().Message + "\"");
+    return;
+  }
+  const targets::StoredTargets &Value = Stored.value();
+  if (applyTargets(Value.Revision, Value.Text, this->Targets, this->Members,
+                   this->Self)) {
+    log::info("event=targets-applied revision=" +
+              std::to_string(Value.Revision));
+  }
+}
+
+void Node::followTargets(const std::stop_token &Stop) {
+  store::PrefixWatcher Followed(this->Store, store::TargetsKey);
+  Followed.run(
+      Stop,
+      [this](const store::Listing &Listing) {
+        for (const store::KeyValue &Entry : Listing.Entries) {
+          this->takeTargets(Entry);
+        }
+      },
+      [this](const store::WatchEvent &Event) {
+        if (!Event.IsDelete) {
+          this->takeTargets(Event.Entry);
+        }
+      },
+      [](const base::Error &Failure) {
+        log::warn("event=store-unavailable reason=\"" + Failure.Message +
+                  "\"");
+      });
+}
+
+void Node::refreshTargets() {
+  base::Result<std::optional<store::KeyValue>> Entry =
+      this->Store.get(store::TargetsKey);
+  if (Entry) {
+    if (Entry.value()) {
+      this->takeTargets(*Entry.value());
+    }
+    this->Pauses.refreshed();
+  }
+  this->IsRefreshing.store(false);
+}
+
+void Node::tickFence(base::TimePoint Now) {
+  if (!this->Pauses.isFenced()) {
+    this->FenceWasSeen = false;
+    return;
+  }
+  if (!this->FenceWasSeen) {
+    this->FenceWasSeen = true;
+    this->FenceSeenAt = Now;
+    log::warn("event=paused action=\"reading the targets anew\"");
+    for (const members::Member &Peer : this->Members.all()) {
+      this->Links.send(Now, Peer.Control, Peer.Name, wire::ViewFetch());
+    }
+  }
+  if (Now - this->FenceSeenAt >= MaxFence) {
+    this->Pauses.refreshed();
+    return;
+  }
+  if (!this->IsRefreshing.exchange(true)) {
+    this->StoreJobs.post([this] { this->refreshTargets(); });
+  }
+}
+
+void Node::tickSeeds(base::TimePoint Now) {
+  if (this->knowsTargets() || Now - this->LastSeedAsk < SeedInterval) {
+    return;
+  }
+  this->LastSeedAsk = Now;
+  for (const base::Address &Seed : this->Settings.Seeds) {
+    if (Seed != this->Settings.Control) {
+      this->Links.send(Now, Seed, {}, wire::ViewFetch());
+    }
+  }
+}
+
+} // namespace bilberry::node
--- a/bilberry/store/prefix_watcher.h
+++ b/bilberry/store/prefix_watcher.h
@@ -50,6 +50,7 @@
   void run(std::stop_token Stop, OnListing &&TakeListing, OnEvent &&TakeEvent,
            OnDown &&TakeError) {
     while (!Stop.stop_requested()) {
+      this->ListingBegan = std::chrono::steady_clock::now();
       base::Result<Listing> List = this->Source.list(this->Prefix);
       if (Stop.stop_requested()) {
         return;
@@ -66,6 +67,12 @@
     }
   }
 
+  /// How long ago the listing was begun that OnListing is given. What it shows
+  /// was in the store at that time or later. Call from OnListing only.
+  base::Duration listingAge() const {
+    return std::chrono::steady_clock::now() - this->ListingBegan;
+  }
+
 private:
   // Watches for one re-read interval. False where the watch broke before.
   bool watchOnce(const std::stop_token &Stop, StoreRevision After,
@@ -90,6 +97,7 @@
   std::string Prefix;
   base::Duration RereadInterval;
   Backoff Delays;
+  std::chrono::steady_clock::time_point ListingBegan;
 };
 
 } // namespace bilberry::store
