--- /dev/null
+++ b/bilberry/settings/process_settings.cc
@@ -0,0 +1,203 @@
+#include "bilberry/settings/process_settings.h"
+
+#include "bilberry/settings/ini_document.h"
+#include "bilberry/settings/section_reader.h"
+#include "bilberry/settings/values.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace bilberry::settings {
+
+using members::MemberRole;
+
+static constexpr uint64_t MaxWorkers = 16;
+static constexpr uint64_t MinCacheFlows = 1000;
+static constexpr uint64_t MaxCacheFlows = 10000000;
+static constexpr base::Duration MinStoreTimeout = std::chrono::milliseconds(10);
+static constexpr base::Duration MaxStoreTimeout = std::chrono::minutes(1);
+
+static constexpr std::array<std::string_view, 5> KnownSections = {
+    "process", "store", "upstream", "peers", "log"};
+static constexpr std::array<std::string_view, 4> LogLevels = {"debug", "info",
+                                                              "warn", "error"};
+static constexpr std::array<std::string_view, 2> LogLayouts = {"text", "json"};
+
+std::string_view logLevelText(LogLevel Level) {
+  return LogLevels[static_cast<size_t>(Level)];
+}
+
+std::string_view logLayoutText(LogLayout Layout) {
+  return LogLayouts[static_cast<size_t>(Layout)];
+}
+
+// A reader of one of the words; the value is the word's place in the list.
+template <typename Value, size_t Count>
+static auto oneOf(const std::array<std::string_view, Count> &Words) {
+  return [&Words](std::string_view Text) -> base::Result<Value> {
+    auto Word = std::ranges::find(Words, Text);
+    if (Word != Words.end()) {
+      return static_cast<Value>(Word - Words.begin());
+    }
+    std::string Message = "'" + std::string(Text) + "' is none of";
+    for (std::string_view Known : Words) {
+      Message += " " + std::string(Known);
+    }
+    return base::Error{base::ErrorCode::Malformed, std::move(Message)};
+  };
+}
+
+// Reads an address that a process can listen on or call.
+static base::Result<base::Address> parsePort(std::string_view Text) {
+  auto Parsed = base::parseAddress(Text);
+  if (Parsed && Parsed.value().Port == 0) {
+    return base::Error{base::ErrorCode::OutOfRange, "the port must not be 0"};
+  }
+  return Parsed;
+}
+
+namespace {
+
+// Fills in the settings, section by section. A section that is missing is
+// read as one without entries, so that its missing keys are named.
+class SettingsReader {
+public:
+  SettingsReader(const IniDocument &Document, MemberRole Role,
+                 base::Findings &Problems)
+      : Document(Document), Role(Role), Problems(Problems) {}
+
+  ProcessSettings read();
+
+private:
+  IniSection section(std::string_view Name) const;
+  void readProcess();
+  void readStore();
+  void readUpstream();
+  void readPeers();
+  void readLog();
+  void checkSections();
+
+  const IniDocument &Document;
+  MemberRole Role;
+  base::Findings &Problems;
+  ProcessSettings Result;
+};
+
+} // namespace
+
+ProcessSettings SettingsReader::read() {
+  this->readProcess();
+  this->readStore();
+  this->readUpstream();
+  this->readPeers();
+  this->readLog();
+  this->checkSections();
+  return std::move(this->Result);
+}
+
+IniSection SettingsReader::section(std::string_view Name) const {
+  const IniSection *Found = this->Document.find(Name);
+  return Found ? *Found : IniSection{std::string(Name), 0, {}};
+}
+
+void SettingsReader::readProcess() {
+  IniSection Section = this->section("process");
+  SectionReader Reader(this->Document.File, Section, this->Problems);
+  ProcessSettings &Value = this->Result;
+  Value.Name =
+      base::MemberName(Reader.required("name", parseName).value_or(""));
+  Value.DataCentre = base::DataCentreName(
+      Reader.required("data-centre", parseName).value_or(""));
+  Value.Data = Reader.required("data", parsePort).value_or(base::Address());
+  Value.Control =
+      Reader.required("control", parsePort).value_or(base::Address());
+  Value.Metrics = Reader.optional("metrics", parsePort);
+  Value.Workers = static_cast<unsigned>(
+      Reader.optional("workers", unsignedBetween(1, MaxWorkers))
+          .value_or(Value.Workers));
+  if (this->Role == MemberRole::Agent) {
+    Value.Service =
+        base::ServiceName(Reader.required("service", parseName).value_or(""));
+    Reader.forbid("cache-flows", "is for balancers");
+  } else {
+    auto CacheRange = unsignedBetween(MinCacheFlows, MaxCacheFlows);
+    Value.CacheFlows =
+        Reader.optional("cache-flows", CacheRange).value_or(Value.CacheFlows);
+    Reader.forbid("service", "is for agents; a balancer serves all services");
+  }
+  Reader.finish();
+}
+
+void SettingsReader::readStore() {
+  IniSection Section = this->section("store");
+  SectionReader Reader(this->Document.File, Section, this->Problems);
+  ProcessSettings &Value = this->Result;
+  Value.Store = Reader.required("address", parsePort).value_or(base::Address());
+  Value.StoreTimeout =
+      Reader
+          .optional("timeout",
+                    durationBetween(MinStoreTimeout, MaxStoreTimeout))
+          .value_or(Value.StoreTimeout);
+  Reader.finish();
+}
+
+void SettingsReader::readUpstream() {
+  if (this->Role == MemberRole::Agent) {
+    IniSection Section = this->section("upstream");
+    SectionReader Reader(this->Document.File, Section, this->Problems);
+    this->Result.Upstream =
+        Reader.required("address", parsePort).value_or(base::Address());
+    Reader.finish();
+  } else if (const IniSection *Found = this->Document.find("upstream")) {
+    this->Problems.add({this->Document.File, Found->Line, Found->Name, ""},
+                       "is for agents; a balancer has no upstream");
+  }
+}
+
+void SettingsReader::readPeers() {
+  IniSection Section = this->section("peers");
+  SectionReader Reader(this->Document.File, Section, this->Problems);
+  this->Result.Seeds = Reader.optional("seeds", parseAddresses)
+                           .value_or(std::vector<base::Address>());
+  Reader.finish();
+}
+
+void SettingsReader::readLog() {
+  IniSection Section = this->section("log");
+  SectionReader Reader(this->Document.File, Section, this->Problems);
+  ProcessSettings &Value = this->Result;
+  Value.Level = Reader.optional("level", oneOf<LogLevel>(LogLevels))
+                    .value_or(Value.Level);
+  Value.Layout = Reader.optional("layout", oneOf<LogLayout>(LogLayouts))
+                     .value_or(Value.Layout);
+  Reader.finish();
+}
+
+void SettingsReader::checkSections() {
+  for (const IniSection &Section : this->Document.Sections) {
+    if (std::ranges::find(KnownSections, Section.Name) == KnownSections.end()) {
+      this->Problems.add({this->Document.File, Section.Line, Section.Name, ""},
+                         "unknown section");
+    }
+  }
+}
+
+ProcessSettings parseProcessSettings(std::string_view Text,
+                                     const std::string &File, MemberRole Role,
+                                     base::Findings &Problems) {
+  IniDocument Document = parseIni(Text, File, Problems);
+  return SettingsReader(Document, Role, Problems).read();
+}
+
+ProcessSettings loadProcessSettings(const std::string &Path, MemberRole Role,
+                                    base::Findings &Problems) {
+  auto Text = readTextFile(Path);
+  if (!Text) {
+    Problems.add({Path, 0, "", ""}, Text.error().Message);
+    return {};
+  }
+  return parseProcessSettings(Text.value(), Path, Role, Problems);
+}
+
+} // namespace bilberry::settings
--- /dev/null
+++ b/bilberry/settings/process_settings.h
@@ -0,0 +1,72 @@
+// What a daemon learns from its settings file: its name, its data centre, its
+// addresses, and where the store and its upstream are. Read once, at start.
+
+#ifndef BILBERRY_SETTINGS_PROCESS_SETTINGS_H
+#define BILBERRY_SETTINGS_PROCESS_SETTINGS_H
+
+#include "bilberry/base/address.h"
+#include "bilberry/base/clock.h"
+#include "bilberry/base/error.h"
+#include "bilberry/base/name.h"
+#include "bilberry/members/member.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bilberry::settings {
+
+enum class LogLevel : uint8_t { Debug, Info, Warn, Error };
+enum class LogLayout : uint8_t { Text, Json };
+
+/// The words that the settings use. Never fail.
+std::string_view logLevelText(LogLevel Level);
+std::string_view logLayoutText(LogLayout Layout);
+
+/// A plain value.
+struct ProcessSettings {
+  base::MemberName Name;
+  base::DataCentreName DataCentre;
+  /// The service of the agent's upstream; empty for a balancer.
+  base::ServiceName Service;
+  /// UDP: callers' packets.
+  base::Address Data;
+  /// nng over TCP: messages between our processes.
+  base::Address Control;
+  /// HTTP.
+  std::optional<base::Address> Metrics;
+  /// Threads of the worker pool.
+  unsigned Workers = 2;
+  /// Flows that a balancer's cache holds.
+  size_t CacheFlows = 300000;
+  base::Address Store;
+  /// How long one call to the store may take.
+  base::Duration StoreTimeout = std::chrono::seconds(1);
+  /// Port 0 for a balancer.
+  base::Address Upstream;
+  /// Control addresses of other processes, asked for targets and members
+  /// where the store is down at start.
+  std::vector<base::Address> Seeds;
+  LogLevel Level = LogLevel::Info;
+  LogLayout Layout = LogLayout::Text;
+};
+
+/// Reads the settings of a process of that role from text. Every finding is
+/// added to Problems; the result is of use only where it stays empty.
+/// Thread-safe.
+ProcessSettings parseProcessSettings(std::string_view Text,
+                                     const std::string &File,
+                                     members::MemberRole Role,
+                                     base::Findings &Problems);
+
+/// The same from a file. A file that can't be read is a finding too.
+ProcessSettings loadProcessSettings(const std::string &Path,
+                                    members::MemberRole Role,
+                                    base::Findings &Problems);
+
+} // namespace bilberry::settings
+
+#endif
--- /dev/null
+++ b/bilberry/settings/version.h
@@ -0,0 +1,13 @@
+// The version that `--version` prints.
+
+#ifndef BILBERRY_SETTINGS_VERSION_H
+#define BILBERRY_SETTINGS_VERSION_H
+
+namespace bilberry::settings {
+
+/// The same as in CMakeLists.txt.
+inline constexpr char Version[] = "0.1.0";
+
+} // namespace bilberry::settings
+
+#endif
