--- a/bilberry/log/log.cc
+++ b/bilberry/log/log.cc
@@ -17,23 +17,24 @@
   return Instance;
 }
 
-static log4cxx::LevelPtr log4cxxLevel(Level Lowest) {
+static log4cxx::LevelPtr log4cxxLevel(settings::LogLevel Lowest) {
   switch (Lowest) {
-  case Level::Debug:
+  case settings::LogLevel::Debug:
     return log4cxx::Level::getDebug();
-  case Level::Info:
+  case settings::LogLevel::Info:
     return log4cxx::Level::getInfo();
-  case Level::Warn:
+  case settings::LogLevel::Warn:
     return log4cxx::Level::getWarn();
-  case Level::Error:
+  case settings::LogLevel::Error:
     return log4cxx::Level::getError();
   }
   return log4cxx::Level::getInfo();
 }
 
-void configure(std::string_view Process, Level Lowest, Layout Format) {
+void configure(std::string_view Process, settings::LogLevel Lowest,
+               settings::LogLayout Format) {
   log4cxx::LayoutPtr Chosen;
-  if (Format == Layout::Json) {
+  if (Format == settings::LogLayout::Json) {
     Chosen = std::make_shared<log4cxx::JSONLayout>();
   } else {
     std::string Pattern =
--- a/bilberry/log/log.h
+++ b/bilberry/log/log.h
@@ -8,17 +8,16 @@
 
 #include "bilberry/board/agent_action.h"
 #include "bilberry/routing/balancer_router.h"
+#include "bilberry/settings/process_settings.h"
 
 #include <string_view>
 
 namespace bilberry::log {
 
-enum class Level : uint8_t { Debug, Info, Warn, Error };
-enum class Layout : uint8_t { Text, Json };
-
 /// Sets up logging to standard error. Call once, before any other thread
 /// starts. Process is the name that each line carries.
-void configure(std::string_view Process, Level Lowest, Layout Format);
+void configure(std::string_view Process, settings::LogLevel Lowest,
+               settings::LogLayout Format);
 
 /// Write a line. Thread-safe.
 void info(std::string_view Message);
--- a/bilberry/runtime/pause_detector.h
+++ b/bilberry/runtime/pause_detector.h
@@ -34,8 +34,19 @@
     return !this->Fenced.load();
   }
 
-  /// Opens the fence, once what this process knows was read anew.
-  void refreshed() { this->Fenced.store(false); }
+  /// Opens the fence, once what this process knows was read anew. Does
+  /// nothing after close().
+  void refreshed() {
+    if (!this->Closed.load()) {
+      this->Fenced.store(false);
+    }
+  }
+
+  /// Closes the fence for good: this process acts on nothing any more.
+  void close() {
+    this->Closed.store(true);
+    this->Fenced.store(true);
+  }
 
   bool isFenced() const { return this->Fenced.load(); }
   /// How many times a pause was noted.
@@ -45,6 +56,7 @@
   std::atomic<int64_t> LastCheck;
   base::Duration Bound;
   std::atomic<bool> Fenced{false};
+  std::atomic<bool> Closed{false};
   std::atomic<uint64_t> Pauses{0};
 };
 
--- a/bilberry/testing/runtime_test.cc
+++ b/bilberry/testing/runtime_test.cc
@@ -25,6 +25,14 @@
   EXPECT_EQ(Detector.pauses(), 1U);
 }
 
+TEST(PauseDetector, StaysClosedOnceClosed) {
+  base::PausedClock Clock;
+  PauseDetector Detector(Clock.now(), seconds(3));
+  Detector.close();
+  Detector.refreshed();
+  EXPECT_FALSE(Detector.check(Clock.now()));
+}
+
 // Boost.Fiber's context switches give false reports under the sanitizers.
 #if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
 TEST(WorkerPool, FiberTakesDatagramsInOrder) {
