--- /dev/null
+++ b/bilberry/requests/record_table.cc
@@ -0,0 +1,58 @@
+#include "bilberry/requests/record_table.h"
+
+#include <algorithm>
+
+namespace bilberry::requests {
+
+const wire::IntentEntry *RecordTable::find(base::RequestId Id) const {
+  auto It = this->ById.find(Id);
+  return It == this->ById.end() ? nullptr : &It->second;
+}
+
+bool RecordTable::mayFollow(const wire::IntentEntry &Entry) const {
+  const wire::IntentEntry *Known = this->find(Entry.Id);
+  if (Known == nullptr) {
+    return true;
+  }
+  if (Entry.Attempt == Known->Attempt) {
+    return Entry.Decision == Known->Decision ||
+           Entry.Decision == wire::Verdict::Refuse;
+  }
+  return Entry.Attempt > Known->Attempt &&
+         Known->Decision == wire::Verdict::Refuse;
+}
+
+bool RecordTable::record(const wire::IntentEntry &Entry) {
+  if (!this->mayFollow(Entry)) {
+    return false;
+  }
+  wire::IntentEntry &Kept = this->ById[Entry.Id];
+  base::TimePoint Latest = std::max(Kept.Deadline, Entry.Deadline);
+  Kept = Entry;
+  Kept.Deadline = Latest;
+  return true;
+}
+
+void RecordTable::expire(base::TimePoint Now) {
+  std::erase_if(this->ById, [&](const auto &Each) {
+    return isExpired(Now, Each.second.Deadline);
+  });
+}
+
+std::vector<wire::IntentEntry> RecordTable::entries() const {
+  std::vector<wire::IntentEntry> List;
+  List.reserve(this->ById.size());
+  for (const auto &[Id, Entry] : this->ById) {
+    List.push_back(Entry);
+  }
+  return List;
+}
+
+void RecordTable::assign(const std::vector<wire::IntentEntry> &Entries) {
+  this->ById.clear();
+  for (const wire::IntentEntry &Each : Entries) {
+    this->record(Each);
+  }
+}
+
+} // namespace bilberry::requests
--- a/bilberry/requests/request_controller.h
+++ b/bilberry/requests/request_controller.h
@@ -77,8 +77,12 @@
   /// swap. Older ones than known are ignored.
   void onShardRecord(base::TimePoint Now, const StoredShard &Record,
                      board::AgentActions &Out);
-  /// Every shard's record has been read: shards without one may be claimed.
-  void onShardsListed(base::TimePoint Now);
+  /// Every shard's record has been read and given to onShardRecord, in a
+  /// reading that was begun at that time: shards without one may be claimed.
+  /// Call it at the start and after each slow re-reading, at least once a
+  /// minute while the store answers; it is what proves to a backup that it
+  /// hasn't been replaced (RecordProofLimit).
+  void onShardsListed(base::TimePoint Began);
   /// A SwapShard failed without effect, or its outcome is unknown; the record
   /// will be read again and given to onShardRecord.
   void onSwapFailed(base::TimePoint Now, uint32_t Shard,
@@ -93,8 +97,12 @@
   size_t inHand() const;
   size_t shardsHeld() const;
 
-  /// All that the next run needs to go on, as bytes, and back.
-  std::string snapshot() const;
+  /// All that the next run needs to go on, as bytes. From then on this run
+  /// decides and records nothing in the shards that it holds, so that the next
+  /// one is safe even if this one lives on.
+  std::string snapshot();
+  /// Goes on from an earlier run's snapshot. Precondition: nothing has been
+  /// given to this controller yet. Errors: Malformed; nothing is changed.
   base::Result<void> restore(base::TimePoint Now, std::string_view State);
 
 private:
--- a/bilberry/requests/shard_record.h
+++ b/bilberry/requests/shard_record.h
@@ -28,7 +28,8 @@
 
 struct ShardRecord {
   ShardHolder Owner;
-  /// Empty name where the shard has no backup; then it can't run requests.
+  /// Empty name where the shard has no backup: the owner is alone in the
+  /// service.
   ShardHolder Backup;
   /// Rises with every change of Owner or Backup.
   uint64_t Epoch = 0;
--- a/bilberry/wire/peer_message.h
+++ b/bilberry/wire/peer_message.h
@@ -93,8 +93,11 @@
   base::RequestId Id;
   uint32_t Attempt = 0;
   bool Recorded = false;
+  /// The decision that this replies to: within one attempt a Refuse may follow
+  /// a Run, and a late reply to the Run mustn't pass for one to the Refuse.
+  Verdict Decision = Verdict::Run;
 
-  MSGPACK_DEFINE(Shard, Epoch, Id, Attempt, Recorded); // NOLINT
+  MSGPACK_DEFINE(Shard, Epoch, Id, Attempt, Recorded, Decision); // NOLINT
 };
 /// All live entries of a shard, to the process that is to be its backup or
 /// owner from the given epoch on.
@@ -121,8 +124,11 @@
   base::ClassName Class;
   base::TimePoint Deadline;
   std::string Body;
+  /// The run of the receiver that is meant: a later run doesn't know what an
+  /// earlier one has run, so it drops the message.
+  base::Incarnation ReceiverRun = 0;
 
-  MSGPACK_DEFINE(Id, Attempt, Class, Deadline, Body); // NOLINT
+  MSGPACK_DEFINE(Id, Attempt, Class, Deadline, Body, ReceiverRun); // NOLINT
 };
 enum class RunOutcome : uint8_t { Answered = 0, NotRun = 1, Unknown = 2 };
 struct RunResult {
