Test the limits against a simulated upstream; age their evidence

Aim: an upstream in cold start gets no more than it bears, whatever health and load say. Change: standin/upstream_model, a pure upstream with cold start, drain and a ledger. A limit is at most twice what was in use lately (an idle upstream may turn cold unseen), and a shed at a level that was borne before is a sign of a restart. A packet that the upstream acknowledged counts for the connections.

--- a/bilberry/admission/upstream_limits.cc
+++ b/bilberry/admission/upstream_limits.cc
@@ -15,9 +15,9 @@
   this->Connections.setRule(Rule);
 }
 
-bool UpstreamLimits::acquireSlot(base::TimePoint) {
+bool UpstreamLimits::acquireSlot(base::TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
-  return this->Slots.acquire();
+  return this->Slots.acquire(Now);
 }
 
 void UpstreamLimits::releaseSlot(base::TimePoint Now, Completion How,
@@ -27,9 +27,9 @@
   this->Slots.release();
 }
 
-bool UpstreamLimits::acquireConnection(base::TimePoint) {
+bool UpstreamLimits::acquireConnection(base::TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
-  return this->Connections.acquire();
+  return this->Connections.acquire(Now);
 }
 
 void UpstreamLimits::connectionSettled(base::TimePoint Now, Completion How,
@@ -51,9 +51,9 @@
   this->Connections.release();
 }
 
-void UpstreamLimits::adoptConnections(base::TimePoint, uint32_t Count) {
+void UpstreamLimits::adoptConnections(base::TimePoint Now, uint32_t Count) {
   std::lock_guard Lock(this->Mutex);
-  this->Connections.adopt(Count);
+  this->Connections.adopt(Now, Count);
 }
 
 void UpstreamLimits::onUpstreamRestart(base::TimePoint) {
--- a/bilberry/admission/working_limit.cc
+++ b/bilberry/admission/working_limit.cc
@@ -4,10 +4,10 @@
 
 namespace bilberry::admission {
 
-// The limit is in use from nine tenths on, so that a large one that work
-// leaves and enters all the time can still rise.
-static constexpr uint64_t UsedNumerator = 9;
-static constexpr uint64_t UsedDenominator = 10;
+// The limit is in use from a half on, and at most twice what was in use
+// lately: work that moves here from elsewhere finds room, and an upstream that
+// turned cold unseen is overrun by little.
+static constexpr uint32_t UsedShare = 2;
 
 void WorkingLimit::setRule(const LimitRule &NewRule) {
   this->Rule = NewRule;
@@ -20,15 +20,19 @@
   }
 }
 
-bool WorkingLimit::acquire() {
+bool WorkingLimit::acquire(base::TimePoint Now) {
+  this->age(Now);
   if (this->Held >= this->Limit) {
     return false;
   }
-  ++this->Held;
+  this->hold(1);
   return true;
 }
 
-void WorkingLimit::adopt(uint32_t Count) { this->Held += Count; }
+void WorkingLimit::adopt(base::TimePoint Now, uint32_t Count) {
+  this->age(Now);
+  this->hold(Count);
+}
 
 void WorkingLimit::release() {
   if (this->Held > 0) {
@@ -38,6 +42,7 @@
 
 void WorkingLimit::learn(base::TimePoint Now, Completion How,
                          base::Duration Took) {
+  this->age(Now);
   switch (How) {
   case Completion::Done:
     if (this->Rule.LatencyBound.count() > 0 && Took > this->Rule.LatencyBound) {
@@ -72,8 +77,27 @@
 }
 
 bool WorkingLimit::isUsed() const {
-  return uint64_t{this->Held} * UsedDenominator >=
-         uint64_t{this->Limit} * UsedNumerator;
+  return this->Held >= (this->Limit + UsedShare - 1) / UsedShare;
+}
+
+void WorkingLimit::age(base::TimePoint Now) {
+  base::Duration Age = Now - this->PeakSince;
+  if (Age < EvidenceLifetime) {
+    return;
+  }
+  // Without an event in between, what is held now was held all the time.
+  uint32_t Used = Age < 2 * EvidenceLifetime ? this->Peak : this->Held;
+  uint32_t Most = std::max(this->Rule.Floor, UsedShare * Used);
+  if (Most < this->Limit) {
+    this->lowerTo(Most);
+  }
+  this->Peak = this->Held;
+  this->PeakSince = Now;
+}
+
+void WorkingLimit::hold(uint32_t Count) {
+  this->Held += Count;
+  this->Peak = std::max(this->Peak, this->Held);
 }
 
 bool WorkingLimit::isInWindow(base::TimePoint Now) const {
@@ -81,12 +105,14 @@
 }
 
 void WorkingLimit::earn() {
+  bool IsFirst = this->Earned == 0;
+  this->EarnedAt = IsFirst ? this->Held : std::min(this->EarnedAt, this->Held);
   ++this->Earned;
   if (this->Earned < this->Rule.CompletionsPerStep) {
     return;
   }
   this->Earned = 0;
-  this->Proven = this->Limit;
+  this->Proven = std::max(this->Proven, this->EarnedAt);
   this->Limit = std::min(this->Limit + 1, this->Rule.Ceiling);
 }
 
--- a/bilberry/admission/working_limit.h
+++ b/bilberry/admission/working_limit.h
@@ -1,6 +1,6 @@
 // How much of one kind, slots or connections, an upstream gets at once.
 //
-// Additive increase, multiplicative decrease (Chiu and Jain, 1989), with two
+// Additive increase, multiplicative decrease (Chiu and Jain, 1989), with three
 // differences. The limit is raised only by completions: CompletionsPerStep of
 // them since the last change, seen inside the latency bound while the limit
 // was in use, earn one more. So at any time
@@ -8,9 +8,13 @@
 //   limit <= floor + completions since the last restart / CompletionsPerStep
 //
 // and an upstream that warms up at that rate is never given more than it
-// bears. And a shed below a level that completions have proven is no probe
-// that went too far: the upstream bears less than it did, so it may have
-// restarted, and the limit falls to the floor at once.
+// bears. A shed below a level that completions have proven is no probe that
+// went too far: the upstream bears less than it did, so it may have restarted,
+// and the limit falls to the floor at once.
+//
+// Evidence ages, since an idle upstream may turn cold unseen: the limit is at
+// most twice what was in use lately, after the congestion window validation
+// of TCP (RFC 2861, RFC 7661).
 
 #ifndef BILBERRY_ADMISSION_WORKING_LIMIT_H
 #define BILBERRY_ADMISSION_WORKING_LIMIT_H
@@ -37,6 +41,9 @@
 /// shed counts as a burst.
 inline constexpr base::Duration DecreaseWindow = std::chrono::seconds(1);
 
+/// After one to two of these, what was in use then no longer counts.
+inline constexpr base::Duration EvidenceLifetime = std::chrono::seconds(10);
+
 /// What the targets say of one limit.
 struct LimitRule {
   /// What an upstream in cold start bears.
@@ -57,9 +64,9 @@
   void setRule(const LimitRule &Rule);
 
   /// Takes one. False where the limit is reached.
-  bool acquire();
+  bool acquire(base::TimePoint Now);
   /// Takes Count without asking, for work that the upstream carries already.
-  void adopt(uint32_t Count);
+  void adopt(base::TimePoint Now, uint32_t Count);
   /// Gives one back. Does nothing where none is held.
   void release();
 
@@ -83,6 +90,8 @@
 
 private:
   bool isUsed() const;
+  void age(base::TimePoint Now);
+  void hold(uint32_t Count);
   bool isInWindow(base::TimePoint Now) const;
   void earn();
   void onShed(base::TimePoint Now);
@@ -93,8 +102,13 @@
   uint32_t Held = 0;
   /// Completions that count, since the limit last changed.
   uint32_t Earned = 0;
+  /// The least that was held at one of those.
+  uint32_t EarnedAt = 0;
   /// The highest level at which a whole step of completions was seen.
   uint32_t Proven = 0;
+  /// The most that was held since PeakSince.
+  uint32_t Peak = 0;
+  base::TimePoint PeakSince;
   bool HasDecreased = false;
   base::TimePoint LastDecrease;
   uint64_t Sheds = 0;
--- /dev/null
+++ b/bilberry/standin/upstream_model.cc
@@ -0,0 +1,342 @@
+#include "bilberry/standin/upstream_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::standin {
+
+static constexpr std::string_view ServiceTagHead = "service=";
+static constexpr std::string_view AnswerHead = "done:";
+// How often flows and closed flows are looked through for old ones.
+static constexpr base::Duration ForgetInterval = std::chrono::seconds(1);
+
+std::string serviceTag(const base::ServiceName &Service) {
+  return std::string(ServiceTagHead) + Service.text() + ";";
+}
+
+std::string flowSummary(uint64_t Packets, uint64_t Bytes) {
+  return "packets=" + std::to_string(Packets) +
+         " bytes=" + std::to_string(Bytes);
+}
+
+// One place to append, which also keeps GCC from warning about the unused
+// members of the variant at each call.
+static void append(UpstreamOutputs &Out, LinkId Link,
+                   wire::FromUpstream Message) {
+  Out.push_back({Link, std::move(Message)});
+}
+
+static uint32_t borne(uint32_t Cold, uint32_t Most, uint64_t Completions,
+                      uint32_t PerStep) {
+  uint64_t Warm = Cold + Completions / std::max(1U, PerStep);
+  return static_cast<uint32_t>(std::min<uint64_t>(Warm, Most));
+}
+
+UpstreamModel::UpstreamModel(UpstreamRule Rule) : Rule(std::move(Rule)) {}
+
+void UpstreamModel::onLink(LinkId Link) { this->Links.insert(Link); }
+
+void UpstreamModel::onLinkLost(LinkId Link) { this->Links.erase(Link); }
+
+void UpstreamModel::onMessage(base::TimePoint Now, LinkId Link,
+                              const wire::ToUpstream &Message,
+                              UpstreamOutputs &Out) {
+  auto Second =
+      std::chrono::floor<std::chrono::seconds>(Now.time_since_epoch());
+  ++this->Ledger.ArrivalsPerSecond[Second.count()];
+  std::visit([&](const auto &Item) { this->handle(Now, Link, Item, Out); },
+             Message);
+}
+
+void UpstreamModel::handle(base::TimePoint Now, LinkId Link,
+                           const wire::UpstreamRun &Run, UpstreamOutputs &Out) {
+  this->noteBody(Run.Body);
+  if (auto Refusal = this->refusalOf(Now, Run)) {
+    ++this->Ledger.Refused;
+    append(Out, Link, wire::UpstreamRefused{Run.MessageId, *Refusal});
+    return;
+  }
+  ++this->Ledger.Runs[Run.Id];
+  ++this->Ledger.TotalRuns;
+  this->Running.emplace(Now + this->Rule.ServiceTime,
+                        RunningRequest{Link, Run.MessageId, Run.Body});
+}
+
+std::optional<wire::UpstreamRefusal>
+UpstreamModel::refusalOf(base::TimePoint Now, const wire::UpstreamRun &Run) {
+  if (this->IsDraining) {
+    return wire::UpstreamRefusal::Draining;
+  }
+  if (Now >= Run.Deadline) {
+    return wire::UpstreamRefusal::DeadlinePassed;
+  }
+  if (this->Running.size() >= this->slotsBorne()) {
+    ++this->Ledger.Overruns;
+    return wire::UpstreamRefusal::Shed;
+  }
+  return std::nullopt;
+}
+
+void UpstreamModel::handle(base::TimePoint Now, LinkId Link,
+                           const wire::UpstreamHealthQuery &Query,
+                           UpstreamOutputs &Out) {
+  bool IsOld =
+      !this->LastHealthAt || Now - *this->LastHealthAt >= this->Rule.HealthLag;
+  if (IsOld) {
+    this->LastHealth = this->trueHealth();
+    this->LastHealthAt = Now;
+  }
+  wire::UpstreamHealth Report = this->Lie.value_or(this->LastHealth);
+  Report.MessageId = Query.MessageId;
+  append(Out, Link, std::move(Report));
+}
+
+void UpstreamModel::handle(base::TimePoint, LinkId Link,
+                           const wire::UpstreamCancel &Cancel,
+                           UpstreamOutputs &Out) {
+  auto It = std::find_if(this->Running.begin(), this->Running.end(),
+                         [&](const auto &Entry) {
+                           return Entry.second.Link == Link &&
+                                  Entry.second.MessageId == Cancel.MessageId;
+                         });
+  if (It == this->Running.end()) {
+    return;
+  }
+  ++this->Ledger.Cancelled;
+  this->Running.erase(It);
+  append(
+      Out, Link,
+      wire::UpstreamRefused{Cancel.MessageId, wire::UpstreamRefusal::Failed});
+}
+
+void UpstreamModel::handle(base::TimePoint Now, LinkId Link,
+                           const wire::UpstreamFlowPacket &Packet,
+                           UpstreamOutputs &Out) {
+  this->noteBody(Packet.Body);
+  auto Closed = this->Closed.find(Packet.Key);
+  if (Closed != this->Closed.end()) {
+    this->acknowledge(Link, Packet, wire::FlowEvent::Closed,
+                      Closed->second.Summary, Out);
+    return;
+  }
+  bool IsKnown = this->Flows.contains(Packet.Key);
+  if (!IsKnown && !this->openFlow(Now, Link, Packet, Out)) {
+    return;
+  }
+  this->takePacket(Now, Link, this->Flows[Packet.Key], Packet, Out);
+}
+
+bool UpstreamModel::openFlow(base::TimePoint Now, LinkId Link,
+                             const wire::UpstreamFlowPacket &Packet,
+                             UpstreamOutputs &Out) {
+  if ((Packet.Flags & wire::FlowOpen) == 0) {
+    ++this->Ledger.StrayPackets;
+    this->acknowledge(Link, Packet, wire::FlowEvent::Reset, "unknown-flow",
+                      Out);
+    return false;
+  }
+  bool IsTooMuch = this->Flows.size() >= this->connectionsBorne();
+  if (this->IsDraining || IsTooMuch) {
+    ++this->Ledger.Refused;
+    auto Reason = this->IsDraining ? wire::UpstreamRefusal::Draining
+                                   : wire::UpstreamRefusal::Shed;
+    this->Ledger.Overruns += this->IsDraining ? 0 : 1;
+    this->acknowledge(Link, Packet, wire::FlowEvent::Refused,
+                      std::string(wire::upstreamRefusalText(Reason)), Out);
+    return false;
+  }
+  ++this->Ledger.FlowsOpened;
+  UpstreamFlow Flow;
+  Flow.NextPush = Now + this->Rule.PushInterval;
+  this->Flows.emplace(Packet.Key, std::move(Flow));
+  return true;
+}
+
+// Counts a packet that hasn't come before.
+static void noteSequence(UpstreamFlow &Flow,
+                         const wire::UpstreamFlowPacket &Packet) {
+  uint64_t Sequence = Packet.Sequence;
+  bool IsNew =
+      Sequence > Flow.WholeUpTo && Flow.BeyondWhole.insert(Sequence).second;
+  if (!IsNew) {
+    return;
+  }
+  ++Flow.Packets;
+  Flow.Bytes += Packet.Body.size();
+  Flow.HighestSequence = std::max(Flow.HighestSequence, Sequence);
+  while (Flow.BeyondWhole.erase(Flow.WholeUpTo + 1) > 0) {
+    ++Flow.WholeUpTo;
+  }
+}
+
+void UpstreamModel::takePacket(base::TimePoint Now, LinkId Link,
+                               UpstreamFlow &Flow,
+                               const wire::UpstreamFlowPacket &Packet,
+                               UpstreamOutputs &Out) {
+  Flow.Link = Link;
+  Flow.LastPacket = Now;
+  noteSequence(Flow, Packet);
+  if ((Packet.Flags & wire::FlowClose) != 0) {
+    Flow.LastSequence = Packet.Sequence;
+  }
+  ++this->FlowEvents;
+  bool IsWhole = Flow.LastSequence && Flow.WholeUpTo >= *Flow.LastSequence;
+  if (IsWhole) {
+    std::string Summary = flowSummary(Flow.Packets, Flow.Bytes);
+    ++this->Ledger.FlowsClosed;
+    this->Flows.erase(Packet.Key);
+    this->Closed.emplace(Packet.Key, ClosedFlow{Now, Summary});
+    this->acknowledge(Link, Packet, wire::FlowEvent::Closed, std::move(Summary),
+                      Out);
+    return;
+  }
+  bool IsOpening = (Packet.Flags & wire::FlowOpen) != 0;
+  this->acknowledge(Link, Packet,
+                    IsOpening ? wire::FlowEvent::Opened : wire::FlowEvent::Data,
+                    "", Out);
+}
+
+void UpstreamModel::acknowledge(LinkId Link,
+                                const wire::UpstreamFlowPacket &Packet,
+                                wire::FlowEvent Event, std::string Body,
+                                UpstreamOutputs &Out) {
+  wire::UpstreamFlowEvent Reply;
+  Reply.Key = Packet.Key;
+  Reply.Event = Event;
+  Reply.Sequence = Packet.Sequence;
+  Reply.Body = std::move(Body);
+  append(Out, Link, std::move(Reply));
+}
+
+void UpstreamModel::onTick(base::TimePoint Now, UpstreamOutputs &Out) {
+  this->finishDue(Now, Out);
+  if (this->Rule.PushInterval.count() > 0) {
+    this->pushDue(Now, Out);
+  }
+  if (Now >= this->NextForget) {
+    this->NextForget = Now + ForgetInterval;
+    this->forgetOld(Now);
+  }
+}
+
+void UpstreamModel::finishDue(base::TimePoint Now, UpstreamOutputs &Out) {
+  while (!this->Running.empty() && this->Running.begin()->first <= Now) {
+    RunningRequest Ended = std::move(this->Running.begin()->second);
+    this->Running.erase(this->Running.begin());
+    ++this->RequestsDone;
+    ++this->Ledger.Done;
+    if (this->Links.contains(Ended.Link)) {
+      std::string Body = std::string(AnswerHead) + Ended.Body;
+      append(Out, Ended.Link,
+             wire::UpstreamDone{Ended.MessageId, std::move(Body)});
+    }
+  }
+}
+
+void UpstreamModel::pushDue(base::TimePoint Now, UpstreamOutputs &Out) {
+  for (auto &[Key, Flow] : this->Flows) {
+    if (Flow.NextPush > Now) {
+      continue;
+    }
+    Flow.NextPush = Now + this->Rule.PushInterval;
+    ++Flow.Pushes;
+    if (!this->Links.contains(Flow.Link)) {
+      continue;
+    }
+    ++this->FlowEvents;
+    wire::UpstreamFlowEvent Push;
+    Push.Key = Key;
+    Push.Event = wire::FlowEvent::Data;
+    Push.Body = "push:" + std::to_string(Flow.Pushes);
+    append(Out, Flow.Link, std::move(Push));
+  }
+}
+
+void UpstreamModel::forgetOld(base::TimePoint Now) {
+  std::erase_if(this->Closed, [&](const auto &Entry) {
+    return Now - Entry.second.At >= ClosedFlowMemory;
+  });
+  std::erase_if(this->Flows, [&](const auto &Entry) {
+    return Now - Entry.second.LastPacket >= FlowIdleTimeout;
+  });
+}
+
+std::optional<base::TimePoint> UpstreamModel::nextDue() const {
+  std::optional<base::TimePoint> Due;
+  if (!this->Running.empty()) {
+    Due = this->Running.begin()->first;
+  }
+  if (this->Rule.PushInterval.count() == 0) {
+    return Due;
+  }
+  for (const auto &[Key, Flow] : this->Flows) {
+    Due = Due ? std::min(*Due, Flow.NextPush) : Flow.NextPush;
+  }
+  return Due;
+}
+
+void UpstreamModel::turnCold() {
+  this->RequestsDone = 0;
+  this->FlowEvents = 0;
+}
+
+void UpstreamModel::drain(UpstreamOutputs &Out) {
+  this->IsDraining = true;
+  for (LinkId Link : this->Links) {
+    append(Out, Link, wire::UpstreamDraining{});
+  }
+}
+
+void UpstreamModel::lie(std::string State, double Load) {
+  wire::UpstreamHealth Report;
+  Report.State = std::move(State);
+  Report.Load = Load;
+  this->Lie = std::move(Report);
+}
+
+void UpstreamModel::setServiceTime(base::Duration ServiceTime) {
+  this->Rule.ServiceTime = ServiceTime;
+}
+
+uint32_t UpstreamModel::slotsBorne() const {
+  const targets::UpstreamCapacity &Most = this->Rule.Capacity;
+  return borne(Most.ColdSlots, Most.Slots, this->RequestsDone,
+               Most.CompletionsPerSlot);
+}
+
+uint32_t UpstreamModel::connectionsBorne() const {
+  const targets::UpstreamCapacity &Most = this->Rule.Capacity;
+  return borne(Most.ColdConnections, Most.Connections, this->FlowEvents,
+               Most.CompletionsPerSlot);
+}
+
+uint64_t UpstreamModel::arrivalsSince(base::TimePoint Since) const {
+  auto First =
+      std::chrono::floor<std::chrono::seconds>(Since.time_since_epoch());
+  uint64_t Sum = 0;
+  auto &Seconds = this->Ledger.ArrivalsPerSecond;
+  for (auto It = Seconds.lower_bound(First.count()); It != Seconds.end();
+       ++It) {
+    Sum += It->second;
+  }
+  return Sum;
+}
+
+void UpstreamModel::noteBody(std::string_view Body) {
+  if (!Body.starts_with(ServiceTagHead)) {
+    return;
+  }
+  if (!Body.starts_with(serviceTag(this->Rule.Service))) {
+    ++this->Ledger.WrongService;
+  }
+}
+
+wire::UpstreamHealth UpstreamModel::trueHealth() const {
+  wire::UpstreamHealth Report;
+  Report.State = this->IsDraining ? "draining" : "healthy";
+  Report.Load = static_cast<double>(this->Running.size()) /
+                std::max(1U, this->slotsBorne());
+  return Report;
+}
+
+} // namespace bilberry::standin
--- /dev/null
+++ b/bilberry/testing/deadline_queue_test.cc
@@ -0,0 +1,100 @@
+// The queue against its promises: order, deadline, length.
+
+#include "bilberry/admission/deadline_queue.h"
+
+#include <gtest/gtest.h>
+
+namespace bilberry::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::TimePoint Start{std::chrono::hours(1)};
+constexpr base::Duration Service = milliseconds(100);
+constexpr base::Duration Never = std::chrono::hours(1);
+
+DeadlineQueue<int> queueOf(int Length, uint32_t Slots = 1) {
+  DeadlineQueue<int> Queue(100);
+  Queue.setSlots(Slots);
+  Queue.noteServiceTime(Service);
+  for (int Item = 0; Item < Length; ++Item) {
+    EXPECT_TRUE(Queue.push(Start, Start + Never, Item));
+  }
+  return Queue;
+}
+
+TEST(DeadlineQueueTest, RefusesWhatCannotEndInTime) {
+  struct Case {
+    const char *Name;
+    int Waiting;
+    uint32_t Slots;
+    base::Duration TimeLeft;
+    bool Accepted;
+  };
+  const Case Cases[] = {
+      {"past its deadline", 0, 1, milliseconds(0), false},
+      {"just in time", 0, 1, milliseconds(200), true},
+      {"just too late", 0, 1, milliseconds(199), false},
+      {"three before it", 3, 1, milliseconds(500), true},
+      {"three before it, too late", 3, 1, milliseconds(499), false},
+      {"three before it, two slots", 3, 2, milliseconds(300), true},
+      {"three before it, two slots, too late", 3, 2, milliseconds(299), false},
+  };
+  for (const Case &Item : Cases) {
+    DeadlineQueue<int> Queue = queueOf(Item.Waiting, Item.Slots);
+    EXPECT_EQ(Queue.push(Start, Start + Item.TimeLeft, 99), Item.Accepted)
+        << Item.Name;
+    EXPECT_EQ(Queue.size(), Item.Waiting + (Item.Accepted ? 1U : 0U));
+  }
+}
+
+TEST(DeadlineQueueTest, RefusesWhatItHasNoRoomFor) {
+  DeadlineQueue<int> Queue(2);
+  EXPECT_TRUE(Queue.push(Start, Start + Never, 0));
+  EXPECT_TRUE(Queue.push(Start, Start + Never, 1));
+  EXPECT_FALSE(Queue.push(Start, Start + Never, 2));
+}
+
+TEST(DeadlineQueueTest, ServesInOrderAndHandsBackWhatCannotEndInTime) {
+  DeadlineQueue<int> Queue(100);
+  const base::Duration TimesLeft[] = {milliseconds(400), milliseconds(900),
+                                      milliseconds(300), milliseconds(900)};
+  int Next = 0;
+  for (base::Duration Left : TimesLeft) {
+    ASSERT_TRUE(Queue.push(Start, Start + Left, Next++));
+  }
+  Queue.noteServiceTime(Service);
+  std::vector<int> Expired;
+  EXPECT_EQ(Queue.popReady(Start + milliseconds(300), Expired), 0);
+  EXPECT_EQ(Queue.popReady(Start + milliseconds(300), Expired), 1);
+  EXPECT_TRUE(Expired.empty());
+  EXPECT_EQ(Queue.popReady(Start + milliseconds(300), Expired), 3);
+  EXPECT_EQ(Expired, std::vector<int>({2}));
+  EXPECT_EQ(Queue.popReady(Start + milliseconds(300), Expired), std::nullopt);
+}
+
+TEST(DeadlineQueueTest, RemoveAndRemoveExpiredKeepTheOrder) {
+  DeadlineQueue<int> Queue = queueOf(4);
+  ASSERT_TRUE(Queue.push(Start, Start + milliseconds(800), 4));
+  EXPECT_EQ(Queue.remove([](int Item) { return Item == 1; }), 1);
+  EXPECT_EQ(Queue.remove([](int Item) { return Item == 1; }), std::nullopt);
+  std::vector<int> Expired;
+  Queue.removeExpired(Start + milliseconds(800), Expired);
+  EXPECT_EQ(Expired, std::vector<int>({4}));
+  EXPECT_EQ(Queue.popReady(Start, Expired), 0);
+  EXPECT_EQ(Queue.popReady(Start, Expired), 2);
+}
+
+TEST(DeadlineQueueTest, TooHighAnEstimateIsCorrectedByItself) {
+  DeadlineQueue<int> Queue(100);
+  Queue.noteServiceTime(std::chrono::minutes(1));
+  int Refusals = 0;
+  while (Refusals < 1000 && !Queue.push(Start, Start + milliseconds(500), 0)) {
+    ++Refusals;
+  }
+  EXPECT_GT(Refusals, 0);
+  EXPECT_LT(Refusals, 1000);
+}
+
+} // namespace
+} // namespace bilberry::admission
--- /dev/null
+++ b/bilberry/testing/overrun_test.cc
@@ -0,0 +1,262 @@
+// What an upstream gets is held against what it bears: the limits, a fixed
+// limit and one driven by health reports are run against the same simulated
+// upstream, in simulated time, with one millisecond of network each way.
+
+#include "bilberry/admission/upstream_limits.h"
+#include "bilberry/standin/upstream_model.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+
+namespace bilberry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::Duration Step = milliseconds(1);
+constexpr base::Duration Delay = milliseconds(1);
+constexpr base::Duration HealthInterval = milliseconds(200);
+constexpr standin::LinkId Link = 1;
+
+// The policies under test have the methods of UpstreamLimits that are used.
+
+// Trusts the targets' ceiling.
+struct FixedLimit {
+  void setCapacity(const targets::UpstreamCapacity &Capacity) {
+    this->Limit = Capacity.Slots;
+  }
+  bool acquireSlot(base::TimePoint) {
+    bool IsFree = this->Held < this->Limit;
+    this->Held += IsFree ? 1 : 0;
+    return IsFree;
+  }
+  void releaseSlot(base::TimePoint, admission::Completion, base::Duration) {
+    --this->Held;
+  }
+  void onUpstreamRestart(base::TimePoint) { this->Held = 0; }
+  void onHealthReport(base::TimePoint, bool, double) {}
+
+  uint32_t Limit = 0;
+  uint32_t Held = 0;
+};
+
+// Starts at the floor and believes the upstream's reports.
+struct HealthDrivenLimit : FixedLimit {
+  void setCapacity(const targets::UpstreamCapacity &Capacity) {
+    this->Floor = Capacity.ColdSlots;
+    this->Ceiling = Capacity.Slots;
+    this->Limit = this->Floor;
+  }
+  void onUpstreamRestart(base::TimePoint) {
+    this->Held = 0;
+    this->Limit = this->Floor;
+  }
+  void onHealthReport(base::TimePoint, bool IsHealthy, double Load) {
+    bool MayRise = IsHealthy && Load < admission::OverloadedLoad;
+    this->Limit = MayRise ? std::min(this->Limit + 1, this->Ceiling)
+                          : std::max(this->Floor, this->Limit / 2);
+  }
+
+  uint32_t Floor = 0;
+  uint32_t Ceiling = 0;
+};
+
+targets::UpstreamCapacity capacity() {
+  targets::UpstreamCapacity Capacity;
+  Capacity.Slots = 9;
+  Capacity.ColdSlots = 2;
+  // Slow to warm up, so that whoever guesses is found out.
+  Capacity.CompletionsPerSlot = 100;
+  Capacity.LatencyBound = milliseconds(250);
+  return Capacity;
+}
+
+// One agent that always has work, and one upstream.
+template <typename Policy> class Simulation {
+public:
+  Simulation() {
+    this->Limits.setCapacity(capacity());
+    this->startUpstream();
+  }
+
+  /// Offers more than any limit takes, or nothing.
+  void run(base::Duration Length, bool IsOffering = true) {
+    for (base::TimePoint End = this->Now + Length; this->Now < End;
+         this->Now += Step) {
+      this->deliver();
+      this->exchangeHealth();
+      while (IsOffering && this->Limits.acquireSlot(this->Now)) {
+        this->send();
+      }
+    }
+  }
+
+  /// The upstream is a new process; the agent has seen its connection end.
+  void restartUpstream() {
+    this->Overruns += this->Model->ledger().Overruns;
+    this->startUpstream();
+    this->ToUpstream.clear();
+    this->FromUpstream.clear();
+    this->Limits.onUpstreamRestart(this->Now);
+  }
+
+  uint64_t overruns() const {
+    return this->Overruns + this->Model->ledger().Overruns;
+  }
+
+  std::optional<standin::UpstreamModel> Model;
+  Policy Limits;
+  uint64_t Answered = 0;
+
+private:
+  template <typename Message> struct InFlight {
+    base::TimePoint Arrival;
+    base::TimePoint Sent;
+    Message Content;
+  };
+
+  void startUpstream() {
+    standin::UpstreamRule Rule;
+    Rule.Capacity = capacity();
+    this->Model.emplace(Rule);
+    this->Model->onLink(Link);
+    this->Model->lie("healthy", 0.0);
+  }
+
+  void send() {
+    wire::UpstreamRun Run;
+    Run.MessageId = ++this->LastMessage;
+    Run.Id.Low = this->LastMessage;
+    Run.Deadline = this->Now + seconds(5);
+    this->SentAt[Run.MessageId] = this->Now;
+    this->ToUpstream.push_back({this->Now + Delay, this->Now, Run});
+  }
+
+  void deliver() {
+    standin::UpstreamOutputs Out;
+    this->Model->onTick(this->Now, Out);
+    while (!this->ToUpstream.empty() &&
+           this->ToUpstream.front().Arrival <= this->Now) {
+      this->Model->onMessage(this->Now, Link, this->ToUpstream.front().Content,
+                             Out);
+      this->ToUpstream.pop_front();
+    }
+    for (standin::UpstreamOutput &Item : Out) {
+      this->FromUpstream.push_back(
+          {this->Now + Delay, this->Now, std::move(Item.Message)});
+    }
+    while (!this->FromUpstream.empty() &&
+           this->FromUpstream.front().Arrival <= this->Now) {
+      this->receive(this->FromUpstream.front().Content);
+      this->FromUpstream.pop_front();
+    }
+  }
+
+  void receive(const wire::FromUpstream &Message) {
+    if (const auto *Done = std::get_if<wire::UpstreamDone>(&Message)) {
+      ++this->Answered;
+      this->Limits.releaseSlot(this->Now, admission::Completion::Done,
+                               this->Now - this->SentAt[Done->MessageId]);
+    }
+    if (std::holds_alternative<wire::UpstreamRefused>(Message)) {
+      this->Limits.releaseSlot(this->Now, admission::Completion::Shed, Delay);
+    }
+    if (const auto *Health = std::get_if<wire::UpstreamHealth>(&Message)) {
+      this->Limits.onHealthReport(this->Now, Health->State == "healthy",
+                                  Health->Load);
+    }
+  }
+
+  void exchangeHealth() {
+    if (this->Now < this->NextHealth) {
+      return;
+    }
+    this->NextHealth = this->Now + HealthInterval;
+    this->ToUpstream.push_back(
+        {this->Now + Delay, this->Now, wire::UpstreamHealthQuery{}});
+  }
+
+  base::TimePoint Now{std::chrono::hours(1)};
+  base::TimePoint NextHealth = Now;
+  uint32_t LastMessage = 0;
+  uint64_t Overruns = 0;
+  std::unordered_map<uint32_t, base::TimePoint> SentAt;
+  std::deque<InFlight<wire::ToUpstream>> ToUpstream;
+  std::deque<InFlight<wire::FromUpstream>> FromUpstream;
+};
+
+template <typename Policy> uint64_t overrunsAtStart() {
+  Simulation<Policy> Run;
+  Run.run(seconds(10));
+  return Run.overruns();
+}
+
+template <typename Policy> uint64_t overrunsAtRestart() {
+  Simulation<Policy> Run;
+  for (int Round = 0; Round < 3; ++Round) {
+    Run.run(seconds(10));
+    Run.restartUpstream();
+  }
+  Run.run(seconds(10));
+  return Run.overruns();
+}
+
+// Its data centre is out for a minute; meanwhile it turns cold, and the
+// connection to it never breaks.
+template <typename Policy> uint64_t overrunsAtReturn() {
+  Simulation<Policy> Run;
+  Run.run(seconds(20));
+  Run.run(seconds(60), false);
+  Run.Model->turnCold();
+  Run.run(seconds(20));
+  return Run.overruns();
+}
+
+// Turns cold under full load, with no sign but that it sheds.
+template <typename Policy> uint64_t overrunsWhenTurnedCold() {
+  Simulation<Policy> Run;
+  Run.run(seconds(20));
+  uint64_t Before = Run.overruns();
+  Run.Model->turnCold();
+  Run.run(seconds(10));
+  return Run.overruns() - Before;
+}
+
+TEST(Overrun, LimitsGiveNoMoreThanTheUpstreamBears) {
+  EXPECT_EQ(overrunsAtStart<admission::UpstreamLimits>(), 0U);
+  EXPECT_EQ(overrunsAtRestart<admission::UpstreamLimits>(), 0U);
+  EXPECT_EQ(overrunsAtReturn<admission::UpstreamLimits>(), 0U);
+}
+
+// Nobody can know before the first shed comes back. What is on its way then
+// is lost, and nothing after.
+TEST(Overrun, UnseenColdTurnUnderLoadCostsWhatIsInFlight) {
+  // The work of 9 slots ends every 20 ms; 9 arrive within a round trip if all
+  // of it ends at once.
+  EXPECT_LE(overrunsWhenTurnedCold<admission::UpstreamLimits>(), 9U);
+}
+
+TEST(Overrun, FixedAndHealthDrivenLimitsOverrun) {
+  EXPECT_GT(overrunsAtStart<FixedLimit>(), 100U);
+  EXPECT_GT(overrunsAtRestart<FixedLimit>(), 100U);
+  EXPECT_GT(overrunsAtReturn<FixedLimit>(), 100U);
+  EXPECT_GT(overrunsWhenTurnedCold<FixedLimit>(), 100U);
+  EXPECT_GT(overrunsAtStart<HealthDrivenLimit>(), 100U);
+  EXPECT_GT(overrunsAtRestart<HealthDrivenLimit>(), 100U);
+  EXPECT_GT(overrunsAtReturn<HealthDrivenLimit>(), 100U);
+  EXPECT_GT(overrunsWhenTurnedCold<HealthDrivenLimit>(), 100U);
+}
+
+TEST(Overrun, LimitsReachTheCeilingAllTheSame) {
+  Simulation<admission::UpstreamLimits> Run;
+  Run.run(seconds(20));
+  EXPECT_EQ(Run.Limits.status().SlotLimit, 9U);
+  uint64_t Before = Run.Answered;
+  Run.run(seconds(10));
+  // 9 slots, a service time of 20 ms and 2 ms of network: 409 a second.
+  EXPECT_GT(Run.Answered - Before, 3900U);
+}
+
+} // namespace
+} // namespace bilberry
