--- a/bilberry/agent/agent_core.h
+++ b/bilberry/agent/agent_core.h
@@ -92,8 +92,9 @@
   /// Call several times a second.
   void onTick(base::TimePoint Now);
 
-  /// The whole state for a planned restart, and back.
-  std::string snapshot() const;
+  /// The whole state for a planned restart, and back. After snapshot() this
+  /// run decides nothing more in the shards that it held.
+  std::string snapshot();
   base::Result<void> restore(base::TimePoint Now, std::string_view State);
   /// The newest snapshot of ours that peers have sent since the start.
   std::optional<wire::SnapshotReply> foundSnapshot() const;
--- a/bilberry/agent/agent_core_impl.h
+++ b/bilberry/agent/agent_core_impl.h
@@ -284,7 +284,7 @@
   this->perform(Now, Actions);
 }
 
-template <Outlet O> std::string AgentCore<O>::snapshot() const {
+template <Outlet O> std::string AgentCore<O>::snapshot() {
   return wire::encode(
       std::make_tuple(this->Flows.snapshot(), this->Requests.snapshot()));
 }
