Add the store's stand-in

Aim: the adapter needs the published protocol at the other end, and its faults on demand: refusing, hanging, slow, answers lost after the write, leases ended, watches gone silent.

--- /dev/null
+++ b/standins/bilberry_store_standin.cc
@@ -0,0 +1,91 @@
+// A stand-in for the platform's store in a process of its own; see
+// bilberry/standin/store_server.h for what it serves.
+
+#include "bilberry/standin/store_server.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <getopt.h>
+#include <string>
+
+namespace {
+
+constexpr char Usage[] =
+    "usage: bilberry-store-standin --listen IP:PORT\n"
+    "Serves an in-memory store with the etcd v3 JSON gateway's protocol.\n"
+    "  --listen IP:PORT  where to listen; port 0 takes a free one\n"
+    "  --help            print this and exit\n"
+    "  --version         print the version and exit\n"
+    "SIGTERM ends it. Faults are set by POST /standin/fault, and calls are\n"
+    "counted at GET /standin/counts.\n";
+constexpr char Version[] = "bilberry-store-standin 0.1.0\n";
+constexpr int UsageError = 2;
+
+const option Options[] = {{"listen", required_argument, nullptr, 'l'},
+                          {"help", no_argument, nullptr, 'h'},
+                          {"version", no_argument, nullptr, 'v'},
+                          {nullptr, 0, nullptr, 0}};
+
+int fail(const std::string &Message, int Status) {
+  std::fprintf(stderr, "bilberry-store-standin: %s\n", Message.c_str());
+  return Status;
+}
+
+// Blocks the signals that end us in this thread and in those it starts.
+sigset_t blockEndSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  return Signals;
+}
+
+int serve(const std::string &Listen) {
+  auto Address = bilberry::base::parseAddress(Listen);
+  if (!Address) {
+    return fail(Address.error().Message, UsageError);
+  }
+  sigset_t Signals = blockEndSignals();
+  bilberry::standin::StoreServer Server;
+  auto Bound = Server.start(Address.value());
+  if (!Bound) {
+    return fail(Bound.error().Message, EXIT_FAILURE);
+  }
+  std::printf("listening on %s\n",
+              bilberry::base::addressText(Bound.value()).c_str());
+  std::fflush(stdout);
+  int Received = 0;
+  sigwait(&Signals, &Received);
+  Server.stop();
+  return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  std::string Listen;
+  int Option = 0;
+  while ((Option = getopt_long(Count, Arguments, "", Options, nullptr)) != -1) {
+    switch (Option) {
+    case 'l':
+      Listen = optarg;
+      break;
+    case 'h':
+      std::fputs(Usage, stdout);
+      return EXIT_SUCCESS;
+    case 'v':
+      std::fputs(Version, stdout);
+      return EXIT_SUCCESS;
+    default:
+      std::fputs(Usage, stderr);
+      return UsageError;
+    }
+  }
+  if (Listen.empty() || optind != Count) {
+    std::fputs(Usage, stderr);
+    return UsageError;
+  }
+  return serve(Listen);
+}
