--- a/bilberry/requests/request_controller.cc
+++ b/bilberry/requests/request_controller.cc
@@ -20,16 +20,14 @@
     Around.Self = this->Self.get();
     Around.View = this->Members.view(Around.Self.Service);
     Around.Document = this->Targets.current();
-    Around.MayRunHere =
-        members::takesNewWork(Around.Self) &&
-        Around.Document->isInService(Around.Self.DataCentre);
+    Around.MayRunHere = members::takesNewWork(Around.Self) &&
+                        Around.Document->isInService(Around.Self.DataCentre);
     return Around;
   }
 
   /// Precondition: Mutex isn't held.
-  HolderStates
-  holderStates(const Surroundings &Around,
-               const std::vector<base::MemberName> &Names) const {
+  HolderStates holderStates(const Surroundings &Around,
+                            const std::vector<base::MemberName> &Names) const {
     HolderStates States;
     for (const base::MemberName &Name : Names) {
       HolderState &State = States[Name];
--- a/bilberry/requests/request_dispatch.cc
+++ b/bilberry/requests/request_dispatch.cc
@@ -34,8 +34,8 @@
   }
   // What our upstream refused goes to others before it is tried here again.
   bool IsDueHere = Work.RefusalsHere == 0 || Work.Phase == WorkPhase::Queued;
-  board::RunOnUpstream Request{Work.Id, Work.Attempt, Work.Class,
-                               Work.Deadline, Work.Body};
+  board::RunOnUpstream Request{Work.Id, Work.Attempt, Work.Class, Work.Deadline,
+                               Work.Body};
   if (Around.MayRunHere && IsDueHere &&
       this->Runs.start(Around.Now, std::move(Request), {}, Out)) {
     Work.Phase = WorkPhase::Running;
@@ -85,8 +85,8 @@
     Work.Runner = {Value.Name, Value.Run};
     this->sendRunRequest(Work, Around.Now, Out);
     ++this->Counts.PassedOn;
-    logDecision(DecisionKind::RequestPassedOn, requestText(Work.Id),
-                Value.Name, "no slot is free here", Out);
+    logDecision(DecisionKind::RequestPassedOn, requestText(Work.Id), Value.Name,
+                "no slot is free here", Out);
     return true;
   }
   return false;
@@ -100,9 +100,8 @@
   if (Work.Callers.size() != 1 || Work.Header.Hops >= MaxRunners) {
     return false;
   }
-  std::vector<const members::RankedMember *> Ranked =
-      routing::topRanked(Around.View->Placement, routing::requestKey(Work.Id),
-                         MaxRequestHops + 1);
+  std::vector<const members::RankedMember *> Ranked = routing::topRanked(
+      Around.View->Placement, routing::requestKey(Work.Id), MaxRequestHops + 1);
   auto Own = std::find_if(Ranked.begin(), Ranked.end(), [&](const auto *Each) {
     return Each->Value.Name == Around.Self.Name;
   });
@@ -160,8 +159,7 @@
     Work.RefusedBy.push_back(Runner);
   }
   if (Result.Outcome == wire::RunOutcome::Unknown) {
-    bool MayTryAgain = Work.IsIdempotent &&
-                       Work.RefusalsHere < MaxTriesHere &&
+    bool MayTryAgain = Work.IsIdempotent && Work.RefusalsHere < MaxTriesHere &&
                        this->Limits.takeRetryToken(Around.Now);
     if (MayTryAgain) {
       this->dispatch(Around, Work, Out);
@@ -276,8 +274,8 @@
     return;
   }
   RequestWork &Work = It->second;
-  bool IsRunning = Work.Phase == WorkPhase::Running ||
-                   Work.Phase == WorkPhase::PassedOn;
+  bool IsRunning =
+      Work.Phase == WorkPhase::Running || Work.Phase == WorkPhase::PassedOn;
   if (isExpired(Around.Now, Work.Deadline)) {
     this->Shards.replica(Work.Shard).withdraw(Id);
     this->settle(Id, wire::OutcomeUnknown{RefusalReason::DeadlinePassed, {}},
@@ -288,8 +286,8 @@
     if (Work.Phase == WorkPhase::Queued) {
       return; // The queue hands it back.
     }
-    RefusalReason Reason = IsRunning ? RefusalReason::DeadlinePassed
-                                     : RefusalReason::ShardFrozen;
+    RefusalReason Reason =
+        IsRunning ? RefusalReason::DeadlinePassed : RefusalReason::ShardFrozen;
     this->tell(Work, wire::OutcomeUnknown{Reason, {}}, Out);
     Work.Callers.clear();
     return;
@@ -300,8 +298,7 @@
   }
 }
 
-void RequestEngine::tick(const Surroundings &Around,
-                         const HolderStates &States,
+void RequestEngine::tick(const Surroundings &Around, const HolderStates &States,
                          board::AgentActions &Out) {
   std::vector<ShardEffects> Effects;
   this->Shards.tick(Around, States, Effects);
--- a/bilberry/requests/request_engine.cc
+++ b/bilberry/requests/request_engine.cc
@@ -105,12 +105,12 @@
     ++this->Counts.Duplicates;
     RequestWork &Work = It->second;
     WaitingCaller Caller{Header.Caller, Packet.MessageId, Packet.Attempt};
-    bool IsKnown = std::any_of(
-        Work.Callers.begin(), Work.Callers.end(), [&](const auto &Each) {
-          return Each.Address == Caller.Address &&
-                 Each.MessageId == Caller.MessageId &&
-                 Each.Attempt == Caller.Attempt;
-        });
+    bool IsKnown = std::any_of(Work.Callers.begin(), Work.Callers.end(),
+                               [&](const auto &Each) {
+                                 return Each.Address == Caller.Address &&
+                                        Each.MessageId == Caller.MessageId &&
+                                        Each.Attempt == Caller.Attempt;
+                               });
     if (!IsKnown && Packet.Attempt >= Work.Attempt) {
       Work.Callers.push_back(Caller);
     }
@@ -216,8 +216,7 @@
   Work.Payload = std::string(Payload);
   Work.Body = std::string(Packet.Body);
   Work.Callers.push_back({Header.Caller, Packet.MessageId, Packet.Attempt});
-  return this->Works.insert_or_assign(Packet.Id, std::move(Work))
-      .first->second;
+  return this->Works.insert_or_assign(Packet.Id, std::move(Work)).first->second;
 }
 
 bool RequestEngine::forward(const Surroundings &Around,
@@ -240,8 +239,7 @@
 
 void RequestEngine::forwardToOwner(const Surroundings &Around, uint32_t Shard,
                                    const wire::ForwardHeader &Header,
-                                   std::string_view Payload,
-                                   base::RequestId Id,
+                                   std::string_view Payload, base::RequestId Id,
                                    board::AgentActions &Out) {
   const ShardHolder &Owner = this->Shards.replica(Shard).record().Record.Owner;
   if (this->forward(Around, Owner.Name, Header, Payload, Out)) {
@@ -360,10 +358,9 @@
   }
   if (Effects.Note != nullptr) {
     bool IsOurs = NewOwner.empty() || NewOwner == Around.Self.Name;
-    logDecision(IsOurs ? DecisionKind::ShardTaken
-                       : DecisionKind::ShardHandedOver,
-                shardText(Shard), IsOurs ? NoMember : NewOwner, Effects.Note,
-                Out);
+    logDecision(
+        IsOurs ? DecisionKind::ShardTaken : DecisionKind::ShardHandedOver,
+        shardText(Shard), IsOurs ? NoMember : NewOwner, Effects.Note, Out);
   }
   for (const wire::IntentEntry &Entry : Effects.Decided) {
     this->onDecided(Around, Entry, Out);
@@ -403,20 +400,19 @@
   }
   RequestWork &Work = It->second;
   if (Work.MayHaveRun) {
-    this->settle(Entry.Id,
-                 wire::OutcomeUnknown{RefusalReason::ShardFrozen, {}}, Out);
+    this->settle(Entry.Id, wire::OutcomeUnknown{RefusalReason::ShardFrozen, {}},
+                 Out);
     return;
   }
   if (!this->Shards.replica(Work.Shard).isOwner(Around.holder())) {
-    this->forwardToOwner(Around, Work.Shard, Work.Header, Work.Payload,
-                         Work.Id, Out);
+    this->forwardToOwner(Around, Work.Shard, Work.Header, Work.Payload, Work.Id,
+                         Out);
   }
   this->Works.erase(It);
 }
 
-void RequestEngine::propose(const Surroundings &Around,
-                            const RequestWork &Work, Verdict Decision,
-                            board::AgentActions &Out) {
+void RequestEngine::propose(const Surroundings &Around, const RequestWork &Work,
+                            Verdict Decision, board::AgentActions &Out) {
   ReplicaEffects Effects;
   this->Shards.replica(Work.Shard)
       .propose(this->Shards.context(Around),
@@ -476,8 +472,8 @@
     if (IsNotRun && Each.Attempt > Work.Attempt) {
       continue;
     }
-    Out.emplace_back(board::ReplyToRequest{Each.Address, Each.MessageId,
-                                           Work.Id, Outcome});
+    Out.emplace_back(
+        board::ReplyToRequest{Each.Address, Each.MessageId, Work.Id, Outcome});
   }
   this->count(Outcome);
   logDecision(kindOf(Outcome), requestText(Work.Id), Work.Runner.Name,
--- a/bilberry/requests/shard_group.cc
+++ b/bilberry/requests/shard_group.cc
@@ -55,8 +55,8 @@
   for (uint32_t Shard = 0; Shard < ShardsPerService; ++Shard) {
     base::FlowKey Key = routing::shardKey(Around.Self.Service, Shard);
     std::vector<ShardCandidate> Next;
-    for (const members::RankedMember *Each : routing::topRanked(
-             Around.View->Placement, Key, CandidatesPerShard)) {
+    for (const members::RankedMember *Each :
+         routing::topRanked(Around.View->Placement, Key, CandidatesPerShard)) {
       const members::Member &Value = Each->Value;
       Next.push_back({{Value.Name, Value.Run}, Value.DataCentre});
     }
--- a/bilberry/requests/shard_record.cc
+++ b/bilberry/requests/shard_record.cc
@@ -35,8 +35,7 @@
 }
 
 base::Result<ShardRecord> parseShardRecord(std::string_view Text) {
-  const base::Error Malformed{base::ErrorCode::Malformed,
-                              "not a shard record"};
+  const base::Error Malformed{base::ErrorCode::Malformed, "not a shard record"};
   nlohmann::json Document = nlohmann::json::parse(Text, nullptr, false);
   if (!Document.is_object()) {
     return Malformed;
--- a/bilberry/requests/shard_replica.cc
+++ b/bilberry/requests/shard_replica.cc
@@ -141,8 +141,8 @@
   const ShardHolder &Owner = this->Known.Record.Owner;
   bool OwnerHeld =
       this->Previous.Owner == Owner || this->Previous.Backup == Owner;
-  bool IsNext = this->Previous.Epoch > 0 &&
-                this->Previous.Epoch + 1 == this->epoch();
+  bool IsNext =
+      this->Previous.Epoch > 0 && this->Previous.Epoch + 1 == this->epoch();
   bool WeHeld = this->isHolderOf(this->Previous, Context.Self) &&
                 this->CompleteAt >= this->Previous.Epoch;
   if (OwnerHeld || !IsNext || !WeHeld) {
@@ -181,8 +181,7 @@
     return;
   }
   Out.Sends.push_back(
-      {Backup.Name,
-       wire::Intent{this->Known.Shard, this->epoch(), Entry}});
+      {Backup.Name, wire::Intent{this->Known.Shard, this->epoch(), Entry}});
 }
 
 void ShardReplica::withdraw(base::RequestId Id) { this->Proposals.erase(Id); }
@@ -206,8 +205,7 @@
       this->confirm(Entry, Out);
     } else {
       Out.Sends.push_back(
-          {Backup.Name,
-           wire::Intent{this->Known.Shard, this->epoch(), Entry}});
+          {Backup.Name, wire::Intent{this->Known.Shard, this->epoch(), Entry}});
     }
   }
 }
@@ -225,9 +223,9 @@
 void ShardReplica::onIntent(const ReplicaContext &Context,
                             const ShardHolder &From,
                             const wire::Intent &Message, ReplicaEffects &Out) {
-  wire::IntentReply Reply{this->Known.Shard, Message.Epoch,
-                          Message.Entry.Id,  Message.Entry.Attempt,
-                          false,             Message.Entry.Decision};
+  wire::IntentReply Reply{
+      this->Known.Shard,     Message.Epoch, Message.Entry.Id,
+      Message.Entry.Attempt, false,         Message.Entry.Decision};
   bool IsPast = Message.Epoch < this->epoch();
   bool IsOurs = Message.Epoch == this->epoch() &&
                 this->isBackup(Context.Self) &&
@@ -236,8 +234,7 @@
     Out.Sends.push_back({From.Name, Reply});
     return;
   }
-  if (!IsOurs || this->CompleteAt < this->epoch() ||
-      !this->isProven(Context)) {
+  if (!IsOurs || this->CompleteAt < this->epoch() || !this->isProven(Context)) {
     return; // The owner sends it again.
   }
   if (!this->Table.record(Message.Entry)) {
@@ -293,9 +290,9 @@
   if (this->isBackup(Context.Self)) {
     return Record.Owner == From;
   }
-  bool FromBefore = this->Previous.Epoch + 1 == Record.Epoch &&
-                    (this->Previous.Owner == From ||
-                     this->Previous.Backup == From);
+  bool FromBefore =
+      this->Previous.Epoch + 1 == Record.Epoch &&
+      (this->Previous.Owner == From || this->Previous.Backup == From);
   return this->isWaitingOut(Context.Self) && FromBefore;
 }
 
@@ -304,13 +301,12 @@
                                const wire::ShardCopy &Message,
                                ReplicaEffects &Out) {
   if (Message.Epoch < this->epoch() || Message.Epoch <= this->ClosedUpTo) {
-    Out.Sends.push_back({From.Name, wire::ShardCopyReply{this->Known.Shard,
-                                                         Message.Epoch,
-                                                         false}});
+    Out.Sends.push_back(
+        {From.Name,
+         wire::ShardCopyReply{this->Known.Shard, Message.Epoch, false}});
     return;
   }
-  bool IsRepeated =
-      this->CopiedAt == Message.Epoch && this->CopiedFrom == From;
+  bool IsRepeated = this->CopiedAt == Message.Epoch && this->CopiedFrom == From;
   if (!IsRepeated && !this->mayTakeCopy(Context, From, Message)) {
     return; // Sent again, when we may have read the record that it needs.
   }
--- a/bilberry/requests/upstream_runs.cc
+++ b/bilberry/requests/upstream_runs.cc
@@ -10,8 +10,7 @@
   }
   bool IsShed = Result.Outcome == wire::RunOutcome::NotRun &&
                 Result.Reason == wire::RefusalReason::Overloaded;
-  return IsShed ? admission::Completion::Shed
-                : admission::Completion::Neutral;
+  return IsShed ? admission::Completion::Shed : admission::Completion::Neutral;
 }
 
 bool UpstreamRuns::start(base::TimePoint Now, board::RunOnUpstream Request,
@@ -82,9 +81,8 @@
     if (Message.Attempt == Before.Attempt && IsAnswered) {
       Out.emplace_back(board::SendPeer{Owner.Name, *Before.Result});
     }
-    bool IsNewAttempt =
-        Message.Attempt > Before.Attempt && IsAnswered &&
-        Before.Result->Outcome == wire::RunOutcome::NotRun;
+    bool IsNewAttempt = Message.Attempt > Before.Attempt && IsAnswered &&
+                        Before.Result->Outcome == wire::RunOutcome::NotRun;
     if (!IsNewAttempt) {
       return;
     }
