--- a/bilberry/standin/options.cc
+++ b/bilberry/standin/options.cc
@@ -77,6 +77,23 @@
           }};
 }
 
+Option
+serviceOption(std::string Help,
+              std::function<void(base::ServiceName, base::Address)> Add) {
+  return {"service", "NAME=IP:PORT", std::move(Help),
+          [Add = std::move(Add)](const std::string &Text) {
+            size_t Split = Text.find('=');
+            if (Split == std::string::npos || Split == 0) {
+              return false;
+            }
+            auto Where = base::parseAddress(Text.substr(Split + 1));
+            if (Where) {
+              Add(base::ServiceName(Text.substr(0, Split)), Where.value());
+            }
+            return static_cast<bool>(Where);
+          }};
+}
+
 static void printUsage(const char *Program,
                        const std::vector<Option> &Options) {
   std::fprintf(stderr, "usage: %s [OPTION]...\n", Program);
--- a/bilberry/standin/options.h
+++ b/bilberry/standin/options.h
@@ -5,6 +5,7 @@
 
 #include "bilberry/base/address.h"
 #include "bilberry/base/clock.h"
+#include "bilberry/base/name.h"
 
 #include <cstdint>
 #include <functional>
@@ -32,6 +33,10 @@
 Option addressOption(std::string Name, std::string Help, base::Address &Target);
 Option flagOption(std::string Name, std::string Help, bool &Target);
 
+/// "--service NAME=IP:PORT", which may be repeated; each is given to Add.
+Option serviceOption(std::string Help,
+                     std::function<void(base::ServiceName, base::Address)> Add);
+
 /// Reads the command line. False after printing what is wrong, or the usage
 /// for --help, to stderr; the program then ends with status 2. Not
 /// thread-safe: getopt_long keeps state.
--- a/standins/bilberry_upstream_standin.cc
+++ b/standins/bilberry_upstream_standin.cc
@@ -11,6 +11,7 @@
 // SIGTERM drains, waits for requests and flows to end, and says what it cut.
 
 #include "bilberry/standin/admin_server.h"
+#include "bilberry/standin/id_text.h"
 #include "bilberry/standin/options.h"
 #include "bilberry/standin/upstream_server.h"
 
@@ -69,20 +70,12 @@
   return true;
 }
 
-static std::string idText(uint64_t High, uint64_t Low) {
-  std::array<char, 33> Text = {};
-  (void)std::snprintf(Text.data(), Text.size(), "%016llx%016llx",
-                      static_cast<unsigned long long>(High),
-                      static_cast<unsigned long long>(Low));
-  return Text.data();
-}
-
 static json ledgerJson(const UpstreamModel &Model, base::TimePoint Since) {
   const UpstreamLedger &Ledger = Model.ledger();
   json RunTwice = json::object();
   for (const auto &[Id, Runs] : Ledger.Runs) {
     if (Runs > 1) {
-      RunTwice[idText(Id.High, Id.Low)] = Runs;
+      RunTwice[requestIdText(Id)] = Runs;
     }
   }
   return {{"run_more_than_once", RunTwice},
@@ -106,14 +99,13 @@
 static json fullLedgerJson(const UpstreamModel &Model) {
   json Runs = json::object();
   for (const auto &[Id, Count] : Model.ledger().Runs) {
-    Runs[idText(Id.High, Id.Low)] = Count;
+    Runs[requestIdText(Id)] = Count;
   }
   json Flows = json::object();
   for (const auto &[Key, Flow] : Model.flows()) {
-    Flows[idText(Key.High, Key.Low)] = {
-        {"packets", Flow.Packets},
-        {"highest_sequence", Flow.HighestSequence},
-        {"pushes", Flow.Pushes}};
+    Flows[flowKeyText(Key)] = {{"packets", Flow.Packets},
+                               {"highest_sequence", Flow.HighestSequence},
+                               {"pushes", Flow.Pushes}};
   }
   return {{"runs", Runs}, {"flows", Flows}};
 }
