--- a/bilberry/standin/upstream_model.cc
+++ b/bilberry/standin/upstream_model.cc
@@ -43,7 +43,9 @@
                               UpstreamOutputs &Out) {
   auto Second =
       std::chrono::floor<std::chrono::seconds>(Now.time_since_epoch());
-  ++this->Ledger.ArrivalsPerSecond[Second.count()];
+  if (!std::holds_alternative<wire::UpstreamHealthQuery>(Message)) {
+    ++this->Ledger.ArrivalsPerSecond[Second.count()];
+  }
   std::visit([&](const auto &Item) { this->handle(Now, Link, Item, Out); },
              Message);
 }
--- a/bilberry/standin/upstream_model.h
+++ b/bilberry/standin/upstream_model.h
@@ -78,7 +78,8 @@
   uint64_t StrayPackets = 0;
   /// Bodies that name another service.
   uint64_t WrongService = 0;
-  /// Messages that came in each second since the Unix epoch.
+  /// Messages that callers caused, so all but health queries, in each second
+  /// since the Unix epoch.
   std::map<int64_t, uint64_t> ArrivalsPerSecond;
 };
 
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -335,7 +335,8 @@
             process = self.processes.get(item.upstream_process)
             if process is None or not process.running():
                 continue
-            for request, count in http(item.admin, "/ledger/full", timeout=30.0).items():
+            ledger = http(item.admin, "/ledger/full", timeout=30.0)
+            for request, count in ledger["runs"].items():
                 runs[request] = runs.get(request, 0) + count
         return runs
 
