--- a/bilberry/standin/store_faults.h
+++ b/bilberry/standin/store_faults.h
@@ -29,6 +29,41 @@
   /// Watches bring nothing. One that was open under the fault stays silent
   /// for good.
   bool HasSilentWatches = false;
+
+  /// True where the watches bring nothing.
+  bool silencesWatches() const {
+    return this->HasSilentWatches || this->Mode == Availability::Hanging;
+  }
+};
+
+/// The faults with a count of the times that they silenced the watches, by
+/// which a watch knows that it was open under the fault. Not thread-safe.
+class FaultControl {
+public:
+  /// Replaces the faults.
+  void set(const StoreFaults &Value) {
+    this->Present = Value;
+    this->Silences += Value.silencesWatches() ? 1 : 0;
+  }
+  const StoreFaults &get() const { return this->Present; }
+  /// How often the watches were silenced so far.
+  uint64_t silences() const { return this->Silences; }
+  /// True for a watch that opened after Seen silences and is silent now.
+  bool isSilent(uint64_t Seen) const {
+    return this->Silences != Seen || this->Present.silencesWatches();
+  }
+  /// True, and one fewer from then on, where a write's answer is to be lost.
+  bool takeLostAnswer() {
+    if (this->Present.AnswersToLose == 0) {
+      return false;
+    }
+    --this->Present.AnswersToLose;
+    return true;
+  }
+
+private:
+  StoreFaults Present;
+  uint64_t Silences = 0;
 };
 
 } // namespace bilberry::standin
--- a/bilberry/standin/store_server.cc
+++ b/bilberry/standin/store_server.cc
@@ -75,6 +75,13 @@
       1, JsonType, [](size_t, size_t, httplib::DataSink &) { return false; });
 }
 
+// The library's own queue holds five connections; when a whole fleet calls at
+// once, those beyond it would wait for a retransmission.
+class HttpServer : public httplib::Server {
+public:
+  void widenQueue() { ::listen(this->svr_sock_, SOMAXCONN); }
+};
+
 bool sendLine(httplib::DataSink &Sink, const json &Message) {
   std::string Line = Message.dump() + "\n";
   return Sink.write(Line.data(), Line.size());
@@ -84,7 +91,7 @@
 
 class StoreServer::Impl {
 public:
-  explicit Impl(size_t Threads);
+  Impl(size_t Threads, base::Duration Progress);
 
   base::Result<base::Address> start(base::Address Listen);
   void stop();
@@ -96,7 +103,7 @@
 
   struct WatchSession {
     OpenWatch Watch;
-    bool IsSilent = false;
+    uint64_t SilencesSeen = 0;
     bool IsCreated = false;
     base::TimePoint LastSent;
   };
@@ -115,21 +122,23 @@
   Gate hold(std::unique_lock<base::RankedMutex> &Lock);
 
   const size_t MaxHeldCalls;
+  const base::Duration Progress;
   base::SteadyClock Clock;
-  httplib::Server Http;
+  HttpServer Http;
   std::thread Listener;
 
   base::RankedMutex Mutex{base::LockRank::Adapter};
   std::condition_variable_any Changed;
   EtcdGateway Gateway;
-  StoreFaults Faults;
+  FaultControl Faults;
   std::map<std::string, uint64_t> Counts;
   size_t HeldCalls = 0;
   size_t OpenWatches = 0;
   bool IsStopping = false;
 };
 
-StoreServer::Impl::Impl(size_t Threads) : MaxHeldCalls(Threads / 2) {
+StoreServer::Impl::Impl(size_t Threads, base::Duration Progress)
+    : MaxHeldCalls(Threads / 2), Progress(Progress) {
   this->Http.set_tcp_nodelay(true);
   this->Http.new_task_queue = [Threads] {
     return new httplib::ThreadPool(Threads); // Owned by the server.
@@ -166,6 +175,7 @@
   if (Port < 0) {
     return base::Error{ErrorCode::System, "can't listen on " + Text};
   }
+  this->Http.widenQueue();
   this->Listener = std::thread([this] { this->Http.listen_after_bind(); });
   return base::Address{Listen.Ip, static_cast<uint16_t>(Port)};
 }
@@ -190,7 +200,7 @@
 void StoreServer::Impl::setFaults(const StoreFaults &Value) {
   {
     std::lock_guard Lock(this->Mutex);
-    this->Faults = Value;
+    this->Faults.set(Value);
   }
   this->Changed.notify_all();
 }
@@ -205,14 +215,14 @@
 
 StoreServer::Impl::Gate
 StoreServer::Impl::passFaults(std::unique_lock<base::RankedMutex> &Lock) {
-  if (this->Faults.Delay > base::Duration::zero()) {
-    this->Changed.wait_for(Lock, this->Faults.Delay,
+  if (this->Faults.get().Delay > base::Duration::zero()) {
+    this->Changed.wait_for(Lock, this->Faults.get().Delay,
                            [this] { return this->IsStopping; });
   }
-  if (this->Faults.Mode == Availability::Refusing || this->IsStopping) {
+  if (this->Faults.get().Mode == Availability::Refusing || this->IsStopping) {
     return Gate::Refuse;
   }
-  if (this->Faults.Mode == Availability::Hanging) {
+  if (this->Faults.get().Mode == Availability::Hanging) {
     return this->hold(Lock);
   }
   return Gate::Pass;
@@ -225,7 +235,7 @@
   }
   ++this->HeldCalls;
   bool IsOver = this->Changed.wait_for(Lock, MaxHold, [this] {
-    return this->IsStopping || this->Faults.Mode != Availability::Hanging;
+    return this->IsStopping || this->Faults.get().Mode != Availability::Hanging;
   });
   --this->HeldCalls;
   return IsOver && !this->IsStopping ? Gate::Pass : Gate::Drop;
@@ -256,10 +266,7 @@
   base::TimePoint Now = this->Clock.now();
   this->Gateway.state().expireLeases(Now);
   base::Result<json> Answer = (this->Gateway.*Item.Perform)(Now, Body);
-  bool IsLost = Item.IsWrite && this->Faults.AnswersToLose > 0;
-  if (IsLost) {
-    --this->Faults.AnswersToLose;
-  }
+  bool IsLost = Item.IsWrite && this->Faults.takeLostAnswer();
   Lock.unlock();
   this->Changed.notify_all();
   if (IsLost) {
@@ -287,6 +294,7 @@
   ++this->OpenWatches;
   auto Session = std::make_shared<WatchSession>();
   Session->Watch = std::move(Watch).value();
+  Session->SilencesSeen = this->Faults.silences();
   Session->LastSent = this->Clock.now();
   Response.set_chunked_content_provider(
       JsonType,
@@ -309,7 +317,7 @@
     if (Session.IsCreated) {
       this->Changed.wait_for(Lock, WatchPoll);
     }
-    if (this->IsStopping || this->Faults.Mode == Availability::Refusing) {
+    if (this->IsStopping || this->Faults.get().Mode == Availability::Refusing) {
       return false;
     }
     Messages = this->watchMessages(Session);
@@ -330,15 +338,13 @@
     Session.IsCreated = true;
     Messages.push_back(this->Gateway.watchCreated());
   }
-  Session.IsSilent = Session.IsSilent || this->Faults.HasSilentWatches ||
-                     this->Faults.Mode == Availability::Hanging;
-  if (Session.IsSilent) {
+  if (this->Faults.isSilent(Session.SilencesSeen)) {
     return Messages;
   }
   json Changes = this->Gateway.watchChanges(Session.Watch);
   if (!Changes.is_null()) {
     Messages.push_back(std::move(Changes));
-  } else if (Now - Session.LastSent >= ProgressInterval) {
+  } else if (Now - Session.LastSent >= this->Progress) {
     Messages.push_back(this->Gateway.watchProgress());
   }
   if (!Messages.empty()) {
@@ -400,7 +406,7 @@
 
 // Takes every field or none.
 base::Result<void> StoreServer::Impl::applyFault(const json &Request) {
-  StoreFaults NewFaults = this->Faults;
+  StoreFaults NewFaults = this->Faults.get();
   KeyValueState NewState = this->Gateway.state();
   for (const auto &[Name, Value] : Request.items()) {
     base::Result<void> Applied = applyField(Name, Request, NewFaults, NewState);
@@ -408,7 +414,7 @@
       return Applied;
     }
   }
-  this->Faults = NewFaults;
+  this->Faults.set(NewFaults);
   this->Gateway.state() = std::move(NewState);
   return boost::outcome_v2::success();
 }
@@ -446,8 +452,8 @@
   Response.set_content(Body.dump(), JsonType);
 }
 
-StoreServer::StoreServer(size_t Threads)
-    : Body(std::make_unique<Impl>(Threads)) {}
+StoreServer::StoreServer(size_t Threads, base::Duration Progress)
+    : Body(std::make_unique<Impl>(Threads, Progress)) {}
 
 StoreServer::~StoreServer() { this->stop(); }
 
--- a/bilberry/standin/store_server.h
+++ b/bilberry/standin/store_server.h
@@ -36,7 +36,9 @@
 /// Thread-safe, but for start() and stop().
 class StoreServer {
 public:
-  explicit StoreServer(size_t Threads = ServerThreads);
+  /// Precondition: Threads is at least 2.
+  explicit StoreServer(size_t Threads = ServerThreads,
+                       base::Duration Progress = ProgressInterval);
   /// Stops the server.
   ~StoreServer();
   StoreServer(const StoreServer &) = delete;
