--- /dev/null
+++ b/bilberry/members/member_text.cc
@@ -0,0 +1,114 @@
+#include "bilberry/members/member_text.h"
+
+#include <array>
+#include <boost/outcome/try.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace bilberry::members {
+
+using base::Error;
+using base::ErrorCode;
+using nlohmann::json;
+
+static constexpr std::array Roles = {MemberRole::Balancer, MemberRole::Agent};
+static constexpr std::array States = {MemberState::Cold, MemberState::InService,
+                                      MemberState::Draining,
+                                      MemberState::Leaving};
+
+static Error badField(const char *Name) {
+  return {ErrorCode::Malformed,
+          std::string("announcement: field '") + Name + "' is missing or bad"};
+}
+
+static base::Result<std::string> textField(const json &Object,
+                                           const char *Name) {
+  auto Found = Object.find(Name);
+  if (Found == Object.end() || !Found->is_string()) {
+    return badField(Name);
+  }
+  return Found->get<std::string>();
+}
+
+static base::Result<uint64_t> numberField(const json &Object,
+                                          const char *Name) {
+  auto Found = Object.find(Name);
+  if (Found == Object.end() || !Found->is_number_unsigned()) {
+    return badField(Name);
+  }
+  return Found->get<uint64_t>();
+}
+
+static base::Result<base::Address> addressField(const json &Object,
+                                                const char *Name) {
+  BOOST_OUTCOME_TRY(Text, textField(Object, Name));
+  base::Result<base::Address> Address = base::parseAddress(Text);
+  if (!Address) {
+    return badField(Name);
+  }
+  return Address;
+}
+
+// The one of Values whose word the field holds.
+template <typename T, size_t Count, typename Words>
+static base::Result<T> wordField(const json &Object, const char *Name,
+                                 const std::array<T, Count> &Values,
+                                 Words &&Word) {
+  BOOST_OUTCOME_TRY(Text, textField(Object, Name));
+  for (T Value : Values) {
+    if (Word(Value) == Text) {
+      return Value;
+    }
+  }
+  return badField(Name);
+}
+
+std::string memberText(const Member &Value) {
+  json Object = {{"name", Value.Name.text()},
+                 {"run", Value.Run},
+                 {"role", roleText(Value.Role)},
+                 {"state", stateText(Value.State)},
+                 {"data_centre", Value.DataCentre.text()},
+                 {"service", Value.Service.text()},
+                 {"data", base::addressText(Value.Data)},
+                 {"control", base::addressText(Value.Control)},
+                 {"applied", Value.Applied}};
+  // Names come from settings, in any encoding.
+  return Object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+base::Result<Member> parseMember(std::string_view Text) {
+  json Object = json::parse(Text, nullptr, /*allow_exceptions=*/false);
+  if (!Object.is_object()) {
+    return Error{ErrorCode::Malformed, "announcement: not a JSON object"};
+  }
+  BOOST_OUTCOME_TRY(Name, textField(Object, "name"));
+  BOOST_OUTCOME_TRY(Run, numberField(Object, "run"));
+  BOOST_OUTCOME_TRY(Role, wordField(Object, "role", Roles, roleText));
+  BOOST_OUTCOME_TRY(State, wordField(Object, "state", States, stateText));
+  BOOST_OUTCOME_TRY(DataCentre, textField(Object, "data_centre"));
+  BOOST_OUTCOME_TRY(Service, textField(Object, "service"));
+  BOOST_OUTCOME_TRY(Data, addressField(Object, "data"));
+  BOOST_OUTCOME_TRY(Control, addressField(Object, "control"));
+  BOOST_OUTCOME_TRY(Applied, numberField(Object, "applied"));
+  if (Name.empty()) {
+    return badField("name");
+  }
+  if (DataCentre.empty()) {
+    return badField("data_centre");
+  }
+  if (Service.empty() != (Role == MemberRole::Balancer)) {
+    return badField("service");
+  }
+  return Member{base::MemberName(std::move(Name)),
+                Run,
+                Role,
+                State,
+                base::DataCentreName(std::move(DataCentre)),
+                base::ServiceName(std::move(Service)),
+                Data,
+                Control,
+                Applied};
+}
+
+} // namespace bilberry::members
