--- a/bilberry/settings/process_settings.cc
+++ b/bilberry/settings/process_settings.cc
@@ -20,18 +20,11 @@
 
 static constexpr std::array<std::string_view, 5> KnownSections = {
     "process", "store", "upstream", "peers", "log"};
+// In the order of log::Level and log::Layout.
 static constexpr std::array<std::string_view, 4> LogLevels = {"debug", "info",
                                                               "warn", "error"};
 static constexpr std::array<std::string_view, 2> LogLayouts = {"text", "json"};
 
-std::string_view logLevelText(LogLevel Level) {
-  return LogLevels[static_cast<size_t>(Level)];
-}
-
-std::string_view logLayoutText(LogLayout Layout) {
-  return LogLayouts[static_cast<size_t>(Layout)];
-}
-
 // A reader of one of the words; the value is the word's place in the list.
 template <typename Value, size_t Count>
 static auto oneOf(const std::array<std::string_view, Count> &Words) {
@@ -167,10 +160,10 @@
   IniSection Section = this->section("log");
   SectionReader Reader(this->Document.File, Section, this->Problems);
   ProcessSettings &Value = this->Result;
-  Value.Level = Reader.optional("level", oneOf<LogLevel>(LogLevels))
-                    .value_or(Value.Level);
-  Value.Layout = Reader.optional("layout", oneOf<LogLayout>(LogLayouts))
-                     .value_or(Value.Layout);
+  Value.LogLevel = Reader.optional("level", oneOf<log::Level>(LogLevels))
+                       .value_or(Value.LogLevel);
+  Value.LogLayout = Reader.optional("layout", oneOf<log::Layout>(LogLayouts))
+                        .value_or(Value.LogLayout);
   Reader.finish();
 }
 
--- a/bilberry/settings/process_settings.h
+++ b/bilberry/settings/process_settings.h
@@ -8,6 +8,7 @@
 #include "bilberry/base/clock.h"
 #include "bilberry/base/error.h"
 #include "bilberry/base/name.h"
+#include "bilberry/log/log.h"
 #include "bilberry/members/member.h"
 
 #include <chrono>
@@ -19,13 +20,6 @@
 
 namespace bilberry::settings {
 
-enum class LogLevel : uint8_t { Debug, Info, Warn, Error };
-enum class LogLayout : uint8_t { Text, Json };
-
-/// The words that the settings use. Never fail.
-std::string_view logLevelText(LogLevel Level);
-std::string_view logLayoutText(LogLayout Layout);
-
 /// A plain value.
 struct ProcessSettings {
   base::MemberName Name;
@@ -50,8 +44,8 @@
   /// Control addresses of other processes, asked for targets and members
   /// where the store is down at start.
   std::vector<base::Address> Seeds;
-  LogLevel Level = LogLevel::Info;
-  LogLayout Layout = LogLayout::Text;
+  log::Level LogLevel = log::Level::Info;
+  log::Layout LogLayout = log::Layout::Text;
 };
 
 /// Reads the settings of a process of that role from text. Every finding is
--- a/bilberry/targets/target_document.cc
+++ b/bilberry/targets/target_document.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -235,6 +236,26 @@
   }
 }
 
+// The store holds the document inside JSON, which carries UTF-8 only.
+static bool isUtf8(std::string_view Text) {
+  using nlohmann::json;
+  std::string Dumped =
+      json(std::string(Text))
+          .dump(-1, ' ', false, json::error_handler_t::replace);
+  return json::parse(Dumped).get<std::string>() == Text;
+}
+
+static void checkUtf8(std::string_view Text, const std::string &File,
+                      base::Findings &Problems) {
+  int Line = 0;
+  for (std::string_view Raw : settings::splitLines(Text)) {
+    ++Line;
+    if (!isUtf8(Raw)) {
+      Problems.add({File, Line, "", ""}, "the line is not UTF-8");
+    }
+  }
+}
+
 Targets parseTargets(std::string_view Text, const std::string &File,
                      base::Findings &Problems) {
   if (Text.size() > MaxDocumentBytes) {
@@ -243,6 +264,7 @@
                      " bytes; the most is " + std::to_string(MaxDocumentBytes));
     return {};
   }
+  checkUtf8(Text, File, Problems);
   IniDocument Document = settings::parseIni(Text, File, Problems);
   return TargetReader(Document, Problems).read();
 }
--- a/bilberry/testing/target_document_test.cc
+++ b/bilberry/testing/target_document_test.cc
@@ -91,6 +91,7 @@
        "f:19: [class c] kind: 'x' is none of stream, upload and request\n"
        "f:25: [class d] deadline: 2h is not between 1ms and 1h\n"
        "f:9: [class a] service: there is no [service t]\n"},
+      {Service + "; caf\xe9\n; caf\xc3\xa9\n", "f:8: the line is not UTF-8\n"},
       {std::string(600 << 10, ';'),
        "f: the document has 614400 bytes; the most is 524288\n"},
   };
