--- a/bilberry/requests/shard_replica.cc
+++ b/bilberry/requests/shard_replica.cc
@@ -366,6 +366,78 @@
   this->SwapSent = true;
 }
 
+namespace {
+
+/// Mixes values into one digest (the finalizer of SplitMix64).
+class Digest {
+public:
+  void add(uint64_t Value) {
+    uint64_t Mixed = this->Sum ^ (Value + 0x9E3779B97F4A7C15ULL);
+    Mixed = (Mixed ^ (Mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
+    Mixed = (Mixed ^ (Mixed >> 27)) * 0x94D049BB133111EBULL;
+    this->Sum = Mixed ^ (Mixed >> 31);
+  }
+  void add(base::TimePoint Value) {
+    this->add(static_cast<uint64_t>(Value.time_since_epoch().count()));
+  }
+  void add(const ShardHolder &Value) {
+    this->add(std::hash<base::MemberName>()(Value.Name));
+    this->add(Value.Run);
+  }
+  void add(const ShardRecord &Value) {
+    this->add(Value.Owner);
+    this->add(Value.Backup);
+    this->add(Value.Epoch);
+  }
+  void add(const wire::IntentEntry &Value) {
+    this->add(Value.Id.High);
+    this->add(Value.Id.Low);
+    this->add(Value.Attempt * 2 + static_cast<uint64_t>(Value.Decision));
+    this->add(Value.Deadline);
+  }
+  uint64_t sum() const { return this->Sum; }
+
+private:
+  uint64_t Sum = 0;
+};
+
+} // namespace
+
+uint64_t ShardReplica::fingerprint() const {
+  Digest All;
+  All.add(this->Known.Record);
+  All.add(static_cast<uint64_t>(this->Known.Changed));
+  for (const wire::IntentEntry &Entry : this->Table.entries()) {
+    All.add(Entry);
+  }
+  for (const auto &[Id, Each] : this->Proposals) {
+    All.add(Each.Entry);
+    All.add(Each.SentAt);
+  }
+  All.add(this->Table.size() * 64 + this->Proposals.size());
+  All.add(this->Previous);
+  All.add(this->EarlierRun);
+  All.add(this->CopiedFrom);
+  for (uint64_t Epoch :
+       {this->CompleteAt, this->ClosedUpTo, this->ArmedAt, this->CopiedAt}) {
+    All.add(Epoch);
+  }
+  All.add(this->CopySentAt);
+  All.add(this->CompleteFrom.value_or(base::TimePoint()));
+  if (this->HandOver) {
+    All.add(this->HandOver->To);
+    All.add(this->HandOver->NextBackup);
+    All.add(this->HandOver->Began);
+    All.add(this->HandOver->SentAt);
+  }
+  if (this->LateCopy) {
+    All.add(this->LateCopy->To);
+    All.add(static_cast<uint64_t>(this->LateCopy->TriesLeft));
+  }
+  All.add((this->SwapSent ? 1U : 0U) + (this->IsFrozen ? 2U : 0U));
+  return All.sum();
+}
+
 void ShardReplica::seal() {
   this->ClosedUpTo = std::max(this->ClosedUpTo, this->epoch());
 }
--- a/bilberry/requests/shard_replica.h
+++ b/bilberry/requests/shard_replica.h
@@ -150,6 +150,8 @@
   /// The record before the present one; epoch 0 where it isn't known.
   const ShardRecord &previous() const { return this->Previous; }
   size_t openProposals() const { return this->Proposals.size(); }
+  /// A digest of the whole state: equal replicas have equal ones.
+  uint64_t fingerprint() const;
 
 private:
   struct Proposal {
