--- a/bilberry/requests/shard_group.cc
+++ b/bilberry/requests/shard_group.cc
@@ -100,6 +100,8 @@
   }
   auto It = States.find(Record.Backup.Name);
   if (It != States.end()) {
+    // A later run of a backup has nothing to take up, unlike one of an owner.
+    View.BackupIsGone |= It->second.Run > Record.Backup.Run;
     bool IsDraining = It->second.State == members::MemberState::Draining;
     View.BackupIsLeaving = IsDraining || It->second.IsDataCentreOut;
   }
--- a/bilberry/testing/request_cluster.cc
+++ b/bilberry/testing/request_cluster.cc
@@ -16,7 +16,7 @@
   return {0, Number * requests::ShardsPerService + Shard};
 }
 
-static targets::Targets defaultTargets() {
+targets::Targets requestTargets() {
   targets::Targets Document;
   Document.Revision = 1;
   auto Add = [&](const char *Name, bool Idempotent) {
@@ -56,10 +56,10 @@
   Each.Value.State = members::MemberState::InService;
   Each.Self = std::make_unique<board::LocalMember>(Each.Value);
   Each.Targets = std::make_unique<targets::TargetTable>();
-  Each.Targets->advance(defaultTargets(), "");
+  Each.Targets->advance(requestTargets(), "");
   Each.Members = std::make_unique<members::MemberTable>();
   Each.Limits = std::make_unique<admission::UpstreamLimits>();
-  Each.Limits->setCapacity(defaultTargets().Services[Service]);
+  Each.Limits->setCapacity(requestTargets().Services[Service]);
   Each.Controller = std::make_unique<requests::RequestController>(
       *Each.Self, *Each.Targets, *Each.Members, *Each.Limits);
   Each.IsAlive = true;
@@ -97,6 +97,13 @@
   }
 }
 
+void RequestCluster::loseUpstream(size_t Place) {
+  board::AgentActions Actions;
+  this->Nodes[Place].Limits->onUpstreamRestart(this->Now);
+  this->Nodes[Place].Controller->onUpstreamLost(this->Now, Actions);
+  this->carryOut(Place, Actions);
+}
+
 void RequestCluster::setSilent(size_t Believer, size_t Subject, bool IsSilent) {
   members::MemberTable &Table = *this->Nodes[Believer].Members;
   const members::Member &Value = this->Nodes[Subject].Value;
@@ -416,7 +423,7 @@
 const wire::RequestOutcome *RequestCluster::told(base::RequestId Id,
                                                  uint32_t Attempt) const {
   auto It = this->Told.find({Id, Attempt});
-  return It == this->Told.end() ? nullptr : &It->second.back();
+  return It == this->Told.end() ? nullptr : &It->second.front();
 }
 
 bool RequestCluster::wasToldNotRun(base::RequestId Id, uint32_t Attempt) const {
--- a/bilberry/testing/request_cluster.h
+++ b/bilberry/testing/request_cluster.h
@@ -51,6 +51,8 @@
   void start(size_t Node, const std::string &Snapshot = "");
   void pause(size_t Node);
   void resume(size_t Node);
+  /// The connection to a node's upstream is lost and made anew.
+  void loseUpstream(size_t Node);
   void setState(size_t Node, members::MemberState State);
   /// Makes one node believe that another is silent, or not.
   void setSilent(size_t Believer, size_t Subject, bool IsSilent);
@@ -77,7 +79,7 @@
   bool isUp(size_t Node) const;
 
   int runs(base::RequestId Id) const;
-  /// The last outcome told of an attempt, or null.
+  /// The first outcome told of an attempt, which its caller acts on, or null.
   const wire::RequestOutcome *told(base::RequestId Id, uint32_t Attempt) const;
   bool wasToldNotRun(base::RequestId Id, uint32_t Attempt) const;
   ClusterTotals totals() const;
@@ -148,6 +150,9 @@
   uint32_t NextMessageId = 1;
 };
 
+/// The targets that the cluster starts with.
+targets::Targets requestTargets();
+
 /// An id that falls into that shard.
 base::RequestId idIn(uint32_t Shard, uint64_t Number);
 
--- a/bilberry/testing/request_search_test.cc
+++ b/bilberry/testing/request_search_test.cc
@@ -176,8 +176,8 @@
     mix(Sum, ticks(State.Deadlines[Attempt]));
     mix(Sum, State.Ran[Attempt] * 2 + (State.ToldNotRun[Attempt] ? 1 : 0));
   }
-  mix(Sum, static_cast<uint64_t>(State.Doubled * 4096 + State.LongSteps * 256 +
-                                 State.ShortSteps * 16 + State.Failures));
+  mix(Sum, (static_cast<uint64_t>(State.Doubled) * 4096 +
+            State.LongSteps * 256 + State.ShortSteps * 16 + State.Failures));
   return Sum;
 }
 
