--- a/bilberry/base/ranked_mutex.h
+++ b/bilberry/base/ranked_mutex.h
@@ -12,6 +12,8 @@
 
 /// The lock order of the board's tables, lowest first.
 enum class LockRank : int {
+  /// A controller's own state; held while it calls the board's tables.
+  Controllers = 0,
   Targets = 1,
   Members = 2,
   Flows = 3,
