--- a/bilberry/settings/process_settings.cc
+++ b/bilberry/settings/process_settings.cc
@@ -20,11 +20,19 @@
 
 static constexpr std::array<std::string_view, 5> KnownSections = {
     "process", "store", "upstream", "peers", "log"};
-// In the order of log::Level and log::Layout.
+// In the order of LogLevel and LogLayout.
 static constexpr std::array<std::string_view, 4> LogLevels = {"debug", "info",
                                                               "warn", "error"};
 static constexpr std::array<std::string_view, 2> LogLayouts = {"text", "json"};
 
+std::string_view logLevelText(LogLevel Level) {
+  return LogLevels[static_cast<size_t>(Level)];
+}
+
+std::string_view logLayoutText(LogLayout Layout) {
+  return LogLayouts[static_cast<size_t>(Layout)];
+}
+
 // A reader of one of the words; the value is the word's place in the list.
 template <typename Value, size_t Count>
 static auto oneOf(const std::array<std::string_view, Count> &Words) {
@@ -122,17 +130,26 @@
   Reader.finish();
 }
 
-void SettingsReader::readStore() {
-  IniSection Section = this->section("store");
-  SectionReader Reader(this->Document.File, Section, this->Problems);
-  ProcessSettings &Value = this->Result;
-  Value.Store = Reader.required("address", parsePort).value_or(base::Address());
-  Value.StoreTimeout =
-      Reader
-          .optional("timeout",
-                    durationBetween(MinStoreTimeout, MaxStoreTimeout))
-          .value_or(Value.StoreTimeout);
+static StoreSettings readStoreSection(const IniDocument &Document,
+                                      base::Findings &Problems) {
+  const IniSection *Found = Document.find("store");
+  IniSection Section = Found ? *Found : IniSection{"store", 0, {}};
+  SectionReader Reader(Document.File, Section, Problems);
+  StoreSettings Value;
+  Value.Address =
+      Reader.required("address", parsePort).value_or(base::Address());
+  Value.Timeout = Reader
+                      .optional("timeout", durationBetween(MinStoreTimeout,
+                                                           MaxStoreTimeout))
+                      .value_or(Value.Timeout);
   Reader.finish();
+  return Value;
+}
+
+void SettingsReader::readStore() {
+  StoreSettings Value = readStoreSection(this->Document, this->Problems);
+  this->Result.Store = Value.Address;
+  this->Result.StoreTimeout = Value.Timeout;
 }
 
 void SettingsReader::readUpstream() {
@@ -160,10 +177,10 @@
   IniSection Section = this->section("log");
   SectionReader Reader(this->Document.File, Section, this->Problems);
   ProcessSettings &Value = this->Result;
-  Value.LogLevel = Reader.optional("level", oneOf<log::Level>(LogLevels))
-                       .value_or(Value.LogLevel);
-  Value.LogLayout = Reader.optional("layout", oneOf<log::Layout>(LogLayouts))
-                        .value_or(Value.LogLayout);
+  Value.Level = Reader.optional("level", oneOf<LogLevel>(LogLevels))
+                    .value_or(Value.Level);
+  Value.Layout = Reader.optional("layout", oneOf<LogLayout>(LogLayouts))
+                     .value_or(Value.Layout);
   Reader.finish();
 }
 
@@ -183,6 +200,12 @@
   return SettingsReader(Document, Role, Problems).read();
 }
 
+StoreSettings parseStoreSettings(std::string_view Text, const std::string &File,
+                                 base::Findings &Problems) {
+  IniDocument Document = parseIni(Text, File, Problems);
+  return readStoreSection(Document, Problems);
+}
+
 ProcessSettings loadProcessSettings(const std::string &Path, MemberRole Role,
                                     base::Findings &Problems) {
   auto Text = readTextFile(Path);
--- a/bilberry/settings/process_settings.h
+++ b/bilberry/settings/process_settings.h
@@ -8,7 +8,6 @@
 #include "bilberry/base/clock.h"
 #include "bilberry/base/error.h"
 #include "bilberry/base/name.h"
-#include "bilberry/log/log.h"
 #include "bilberry/members/member.h"
 
 #include <chrono>
@@ -20,6 +19,15 @@
 
 namespace bilberry::settings {
 
+enum class LogLevel : uint8_t { Debug, Info, Warn, Error };
+enum class LogLayout : uint8_t { Text, Json };
+
+/// The words that the settings use. Never fail.
+std::string_view logLevelText(LogLevel Level);
+std::string_view logLayoutText(LogLayout Layout);
+
+inline constexpr base::Duration DefaultStoreTimeout = std::chrono::seconds(1);
+
 /// A plain value.
 struct ProcessSettings {
   base::MemberName Name;
@@ -38,14 +46,14 @@
   size_t CacheFlows = 300000;
   base::Address Store;
   /// How long one call to the store may take.
-  base::Duration StoreTimeout = std::chrono::seconds(1);
+  base::Duration StoreTimeout = DefaultStoreTimeout;
   /// Port 0 for a balancer.
   base::Address Upstream;
   /// Control addresses of other processes, asked for targets and members
   /// where the store is down at start.
   std::vector<base::Address> Seeds;
-  log::Level LogLevel = log::Level::Info;
-  log::Layout LogLayout = log::Layout::Text;
+  LogLevel Level = LogLevel::Info;
+  LogLayout Layout = LogLayout::Text;
 };
 
 /// Reads the settings of a process of that role from text. Every finding is
@@ -56,7 +64,20 @@
                                      members::MemberRole Role,
                                      base::Findings &Problems);
 
-/// The same from a file. A file that can't be read is a finding too.
+/// Where the store is. A plain value.
+struct StoreSettings {
+  base::Address Address;
+  /// How long one call to the store may take.
+  base::Duration Timeout = DefaultStoreTimeout;
+};
+
+/// Reads the [store] section alone, whatever else stands in the text, for a
+/// tool that is given the settings of another process. Thread-safe.
+StoreSettings parseStoreSettings(std::string_view Text, const std::string &File,
+                                 base::Findings &Problems);
+
+/// parseProcessSettings() of a file. A file that can't be read is a finding
+/// too.
 ProcessSettings loadProcessSettings(const std::string &Path,
                                     members::MemberRole Role,
                                     base::Findings &Problems);
--- a/bilberry/testing/process_settings_test.cc
+++ b/bilberry/testing/process_settings_test.cc
@@ -37,8 +37,8 @@
   EXPECT_EQ(Agent.Seeds[1].Port, 7);
   EXPECT_EQ(Agent.Workers, 16u);
   EXPECT_EQ(Agent.StoreTimeout, std::chrono::milliseconds(250));
-  EXPECT_EQ(Agent.LogLevel, log::Level::Warn);
-  EXPECT_EQ(Agent.LogLayout, log::Layout::Json);
+  EXPECT_EQ(Agent.Level, LogLevel::Warn);
+  EXPECT_EQ(Agent.Layout, LogLayout::Json);
 }
 
 TEST(ProcessSettings, BalancerHasDefaults) {
@@ -49,7 +49,7 @@
   EXPECT_EQ(Balancer.Workers, 2u);
   EXPECT_EQ(Balancer.CacheFlows, 300000u);
   EXPECT_EQ(Balancer.StoreTimeout, std::chrono::seconds(1));
-  EXPECT_EQ(Balancer.LogLevel, log::Level::Info);
+  EXPECT_EQ(Balancer.Level, LogLevel::Info);
   EXPECT_FALSE(Balancer.Metrics);
   EXPECT_TRUE(Balancer.Seeds.empty());
 }
