--- a/bilberry/log/log.cc
+++ b/bilberry/log/log.cc
@@ -17,24 +17,24 @@
   return Instance;
 }
 
-static log4cxx::LevelPtr log4cxxLevel(settings::LogLevel Lowest) {
+static log4cxx::LevelPtr log4cxxLevel(Level Lowest) {
   switch (Lowest) {
-  case settings::LogLevel::Debug:
+  case Level::Debug:
     return log4cxx::Level::getDebug();
-  case settings::LogLevel::Info:
+  case Level::Info:
     return log4cxx::Level::getInfo();
-  case settings::LogLevel::Warn:
+  case Level::Warn:
     return log4cxx::Level::getWarn();
-  case settings::LogLevel::Error:
+  case Level::Error:
     return log4cxx::Level::getError();
   }
   return log4cxx::Level::getInfo();
 }
 
-void configure(std::string_view Process, settings::LogLevel Lowest,
-               settings::LogLayout Format) {
+void configure(std::string_view Process, Level Lowest,
+               Layout Format) {
   log4cxx::LayoutPtr Chosen;
-  if (Format == settings::LogLayout::Json) {
+  if (Format == Layout::Json) {
     Chosen = std::make_shared<log4cxx::JSONLayout>();
   } else {
     std::string Pattern =
--- a/bilberry/log/log.h
+++ b/bilberry/log/log.h
@@ -7,8 +7,8 @@
 #define BILBERRY_LOG_LOG_H
 
 #include "bilberry/board/agent_action.h"
+#include "bilberry/log/log_options.h"
 #include "bilberry/routing/balancer_router.h"
-#include "bilberry/settings/process_settings.h"
 
 #include <string_view>
 
@@ -16,8 +16,8 @@
 
 /// Sets up logging to standard error. Call once, before any other thread
 /// starts. Process is the name that each line carries.
-void configure(std::string_view Process, settings::LogLevel Lowest,
-               settings::LogLayout Format);
+void configure(std::string_view Process, Level Lowest,
+               Layout Format);
 
 /// Write a line. Thread-safe.
 void info(std::string_view Message);
--- a/bilberry/settings/process_settings.h
+++ b/bilberry/settings/process_settings.h
@@ -8,7 +8,7 @@
 #include "bilberry/base/clock.h"
 #include "bilberry/base/error.h"
 #include "bilberry/base/name.h"
-#include "bilberry/log/log.h"
+#include "bilberry/log/log_options.h"
 #include "bilberry/members/member.h"
 
 #include <chrono>
--- a/daemons/bilberry_agent.cc
+++ b/daemons/bilberry_agent.cc
@@ -62,7 +62,7 @@
   }
   const auto &Settings = std::get<settings::ProcessSettings>(Start);
   runtime::blockSignals();
-  log::configure(Settings.Name.text(), Settings.Level, Settings.Layout);
+  log::configure(Settings.Name.text(), Settings.LogLevel, Settings.LogLayout);
 
   agent::AgentDaemon Daemon(Settings);
   if (base::Result<void> Started = Daemon.start(); !Started) {
