--- a/bilberry/agent/agent_core_impl.h
+++ b/bilberry/agent/agent_core_impl.h
@@ -265,7 +265,6 @@
 template <Outlet O> void AgentCore<O>::onTick(base::TimePoint Now) {
   this->applyCapacity();
   this->Keeper.tick(Now);
-  this->Board.Members.tick(Now);
   board::AgentActions Actions;
   bool GiveUpFlows = false;
   {
--- a/bilberry/agent/agent_daemon.cc
+++ b/bilberry/agent/agent_daemon.cc
@@ -275,6 +275,7 @@
   bool IsOpen = this->Node.pauses().check(Now);
   this->Node.tickFence(Now);
   this->Node.tickSeeds(Now);
+  this->Node.tickMembers(Now);
   this->Node.links().tick(Now);
   this->Upstream->tick(Now);
   if (!IsOpen || !this->IsServing.load()) {
--- a/bilberry/balancer/balancer_core.h
+++ b/bilberry/balancer/balancer_core.h
@@ -59,7 +59,7 @@
               Outlet &Out);
 
   /// Call once a second: sends probes.
-  template <typename Outlet> void onSecond(base::TimePoint Now, Outlet &Out);
+  template <typename Outlet> void onSecond(Outlet &Out);
 
   const BalancerCounts &counts() const { return this->Counts; }
   size_t cachedFlows() const { return this->Router.cachedFlows(); }
@@ -163,9 +163,7 @@
   }
 }
 
-template <typename Outlet>
-void BalancerCore::onSecond(base::TimePoint Now, Outlet &Out) {
-  this->Board.Members.tick(Now);
+template <typename Outlet> void BalancerCore::onSecond(Outlet &Out) {
   std::vector<members::Member> Agents = this->Board.Members.all();
   std::erase_if(Agents, [](const members::Member &Member) {
     return Member.Role != members::MemberRole::Agent;
--- a/bilberry/balancer/balancer_daemon.cc
+++ b/bilberry/balancer/balancer_daemon.cc
@@ -184,12 +184,13 @@
   this->Node.pauses().check(Now);
   this->Node.tickFence(Now);
   this->Node.tickSeeds(Now);
+  this->Node.tickMembers(Now);
   this->Node.links().tick(Now);
 }
 
 void BalancerDaemon::Impl::probe() {
   BatchOutlet Out(this->Node, *this->Data);
-  this->Balancer.onSecond(this->Node.clock().now(), Out);
+  this->Balancer.onSecond(Out);
   Out.flush();
 }
 
--- a/bilberry/node/node.cc
+++ b/bilberry/node/node.cc
@@ -6,6 +6,7 @@
 #include "bilberry/store/prefix_watcher.h"
 #include "bilberry/targets/target_store.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -41,8 +42,9 @@
     : Settings(Settings), Self(selfOf(Settings, Role, this->Clock)),
       Links(this->Self), Store(Settings.Store, Settings.StoreTimeout),
       Pauses(this->Clock.now(), PauseBound),
-      Announcer(this->Store, this->Self, this->Clock),
-      Watcher(this->Store, this->Members, this->Clock) {}
+      Announcer(this->Store, this->Clock, this->Self,
+                static_cast<uint32_t>(this->Self.get().Run)),
+      Watcher(this->Store, this->Clock, this->Members) {}
 
 Node::~Node() {
   for (std::jthread &Follower : this->Followers) {
@@ -63,13 +65,31 @@
 }
 
 void Node::announce() {
-  this->Followers.emplace_back(
-      [this](const std::stop_token &Stop) { this->Announcer.run(Stop); });
+  this->AnnouncerThread = std::jthread(
+      [this](const std::stop_token &Stop) { this->keepAnnounced(Stop); });
+}
+
+void Node::keepAnnounced(const std::stop_token &Stop) {
+  while (!Stop.stop_requested()) {
+    members::LeaseStep Step = this->Announcer.step();
+    if (std::holds_alternative<members::EndStep>(Step)) {
+      log::error("event=replaced reason=\"a newer run has this name\"");
+      return;
+    }
+    if (const auto *Wait = std::get_if<members::WaitStep>(&Step)) {
+      base::Duration Left = Wait->Until - this->Clock.now();
+      store::waitFor(std::min<base::Duration>(Left, members::ChangePoll), Stop);
+    }
+  }
 }
 
 void Node::leave() {
   this->Self.setState(members::MemberState::Leaving);
-  this->Announcer.withdraw();
+  if (this->AnnouncerThread.joinable()) {
+    this->AnnouncerThread.request_stop();
+    this->AnnouncerThread.join();
+    this->Announcer.withdraw();
+  }
 }
 
 void Node::takeTargets(const store::KeyValue &Entry) {
--- a/bilberry/node/node.h
+++ b/bilberry/node/node.h
@@ -47,7 +47,9 @@
   base::Result<void> start();
   /// Announces this process to the others, and keeps the lease.
   void announce();
-  /// Withdraws the announcement. Blocks for one call to the store.
+  /// Withdraws the announcement. Blocks until the store has taken it, or for
+  /// members::WithdrawTimeout. A process that ends without it stays announced
+  /// until its lease expires, which is what a restart in place wants.
   void leave();
 
   const settings::ProcessSettings &settings() const { return this->Settings; }
@@ -70,11 +72,14 @@
   void tickFence(base::TimePoint Now);
   /// A peer's view has come: as good as the store to open the fence.
   void onViewTaken() { this->Pauses.refreshed(); }
+  /// Lets time pass for members that are silent. Call about once a second.
+  void tickMembers(base::TimePoint Now) { this->Watcher.tick(Now); }
   /// Asks the seeds for their view while this process knows no targets. Call
   /// several times a second.
   void tickSeeds(base::TimePoint Now);
 
 private:
+  void keepAnnounced(const std::stop_token &Stop);
   void takeTargets(const store::KeyValue &Entry);
   void refreshTargets();
   void followTargets(const std::stop_token &Stop);
@@ -91,9 +96,10 @@
   base::TimePoint FenceSeenAt;
   bool FenceWasSeen = false;
   base::TimePoint LastSeedAsk;
-  members::Announcer<store::EtcdStore> Announcer;
-  members::MemberWatcher<store::EtcdStore> Watcher;
+  members::Announcer<store::EtcdStore, base::SteadyClock> Announcer;
+  members::MemberWatcher<store::EtcdStore, base::SteadyClock> Watcher;
   std::vector<std::jthread> Followers;
+  std::jthread AnnouncerThread;
   JobThread StoreJobs;
 };
 
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -314,7 +314,7 @@
                     return False
             return all(self.shards_owned(service.name) for service in self.services)
 
-        wait_until(ready, "all processes in service")
+        wait_until(ready, "all processes in service", 30)
 
     def shards_owned(self, service):
         owned = 0
