Count an unanswered opening packet as a timeout of the upstream

Cause: the flow was reset, but its connection was given back as if that said nothing of load. A test opens flows until the limit has risen and sees it fall; it fails with the outcome set back to neutral.

--- a/bilberry/routing/flow_controller.cc
+++ b/bilberry/routing/flow_controller.cc
@@ -266,7 +266,10 @@
                              wire::FlowEvent Event, const std::string &Reason) {
   auto Node = this->Flows.Carried.extract(Key);
   const CarriedFlow &Flow = Node.mapped();
-  this->giveBackConnection(Call, Flow, admission::Completion::Neutral);
+  bool HasTimedOut = Flow.IsOpening && Call.Now - Flow.OpenedAt >= OpenTimeout;
+  this->giveBackConnection(Call, Flow,
+                           HasTimedOut ? admission::Completion::Timeout
+                                       : admission::Completion::Neutral);
   if (Flow.IsRecorded) {
     this->Drops.push_back(Key);
   }
--- a/bilberry/testing/flow_controller_test.cc
+++ b/bilberry/testing/flow_controller_test.cc
@@ -329,6 +329,19 @@
   }
 }
 
+TEST(FlowController, UnansweredOpeningLowersTheLimit) {
+  Bench Setup;
+  Setup.Limits.setCapacity({10, 10, 2, 2, 1, std::chrono::seconds(1)});
+  for (uint64_t Connection = 1; Connection <= 4; ++Connection) {
+    Setup.packet(Connection, wire::FlowOpen, 1);
+    Setup.upstream(Connection, wire::FlowEvent::Opened);
+  }
+  uint32_t Before = Setup.Limits.status().ConnectionLimit;
+  Setup.packet(5, wire::FlowOpen, 1);
+  Setup.tick(routing::OpenTimeout);
+  EXPECT_LT(Setup.Limits.status().ConnectionLimit, Before);
+}
+
 TEST(FlowController, LostUpstreamResetsEachFlowOnce) {
   Bench Setup;
   Setup.carriedConnection();
