--- a/bench/relay_bench.cc
+++ b/bench/relay_bench.cc
@@ -117,10 +117,9 @@
 void bareRelay(benchmark::State &State) {
   Bench Sockets;
   base::Address To = addressOf(Sockets.Sink);
-  runLoop(State, Sockets,
-          [&](std::string_view Bytes, runtime::SendBatch &Out) {
-            Out.add(To, std::string(), Bytes);
-          });
+  runLoop(State, Sockets, [&](std::string_view Bytes, runtime::SendBatch &Out) {
+    Out.add(To, std::string(), Bytes);
+  });
 }
 BENCHMARK(bareRelay)->UseManualTime();
 
@@ -161,17 +160,16 @@
     std::string Name = "rounds-" + std::to_string(I % State.range(0));
     base::FlowKey Key = routing::flowKey(base::ServiceName("rounds"),
                                          {INADDR_LOOPBACK, 5000}, I);
-    std::string Hint = wire::datagramHeader(
-        wire::HolderHint{Key, base::MemberName(Name)});
+    std::string Hint =
+        wire::datagramHeader(wire::HolderHint{Key, base::MemberName(Name)});
     BatchOutlet Nowhere;
     Balancer.onDatagram(Clock.now(), Hint, Nowhere);
   }
   BatchOutlet Outlet;
-  runLoop(State, Sockets,
-          [&](std::string_view Bytes, runtime::SendBatch &Out) {
-            Outlet.Out = &Out;
-            Balancer.onDatagram(Clock.now(), Bytes, Outlet);
-          });
+  runLoop(State, Sockets, [&](std::string_view Bytes, runtime::SendBatch &Out) {
+    Outlet.Out = &Out;
+    Balancer.onDatagram(Clock.now(), Bytes, Outlet);
+  });
   State.counters["forwarded"] =
       static_cast<double>(Balancer.counts().Forwarded.load());
   State.counters["cached_routes"] =
--- a/bilberry/log/log.cc
+++ b/bilberry/log/log.cc
@@ -31,8 +31,7 @@
   return log4cxx::Level::getInfo();
 }
 
-void configure(std::string_view Process, Level Lowest,
-               Layout Format) {
+void configure(std::string_view Process, Level Lowest, Layout Format) {
   log4cxx::LayoutPtr Chosen;
   if (Format == Layout::Json) {
     Chosen = std::make_shared<log4cxx::JSONLayout>();
--- a/bilberry/log/log.h
+++ b/bilberry/log/log.h
@@ -16,8 +16,7 @@
 
 /// Sets up logging to standard error. Call once, before any other thread
 /// starts. Process is the name that each line carries.
-void configure(std::string_view Process, Level Lowest,
-               Layout Format);
+void configure(std::string_view Process, Level Lowest, Layout Format);
 
 /// Write a line. Thread-safe.
 void info(std::string_view Message);
