--- /dev/null
+++ b/bilberry/testing/request_runs_test.cc
@@ -0,0 +1,78 @@
+// What an agent does with requests that other owners pass to it.
+
+#include "bilberry/requests/upstream_runs.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace bilberry::requests {
+namespace {
+
+using std::chrono::seconds;
+
+const base::TimePoint Start{std::chrono::hours(24)};
+const ShardHolder Owner{base::MemberName("rounds-1"), 1};
+
+wire::RunRequest request(uint64_t Number, uint32_t Attempt) {
+  return {{0, Number},        Attempt, base::ClassName("check-off"),
+          Start + seconds(5), "pot",   1};
+}
+
+template <typename Kind> long countOf(const board::AgentActions &Actions) {
+  return std::count_if(Actions.begin(), Actions.end(), [](const auto &Each) {
+    return std::holds_alternative<Kind>(Each);
+  });
+}
+
+class UpstreamRunsTest : public testing::Test {
+protected:
+  UpstreamRunsTest() { this->Limits.setCapacity({1, 1, 1, 1, 10, seconds(1)}); }
+
+  /// Offers a request; returns how often it was started.
+  long offer(const wire::RunRequest &Message, base::TimePoint Now = Start) {
+    this->Out.clear();
+    this->Runs.onRunRequest(Now, Owner, Message, true, this->Out);
+    return countOf<board::RunOnUpstream>(this->Out);
+  }
+  void finish(uint64_t Number, uint32_t Attempt) {
+    wire::RunResult Result{{0, Number},
+                           Attempt,
+                           wire::RunOutcome::Answered,
+                           wire::RefusalReason::Overloaded,
+                           "done"};
+    std::optional<UpstreamRun> Run = this->Runs.finish(Start, Result);
+    ASSERT_TRUE(Run);
+    this->Runs.answerOwner(*Run, Result, this->Out);
+  }
+
+  admission::UpstreamLimits Limits;
+  UpstreamRuns Runs{Limits};
+  board::AgentActions Out;
+};
+
+TEST_F(UpstreamRunsTest, ADoubledRequestRunsOnceAndIsAnsweredAgain) {
+  EXPECT_EQ(this->offer(request(1, 1)), 1);
+  EXPECT_EQ(this->offer(request(1, 1)), 0);
+  this->finish(1, 1);
+  EXPECT_EQ(this->offer(request(1, 1)), 0);
+  EXPECT_EQ(countOf<board::SendPeer>(this->Out), 1);
+  EXPECT_EQ(this->offer(request(1, 2)), 0);
+}
+
+TEST_F(UpstreamRunsTest, WhatWasRefusedNeverRunsThoughASlotIsFreeLater) {
+  EXPECT_EQ(this->offer(request(1, 1)), 1);
+  EXPECT_EQ(this->offer(request(2, 1)), 0); // No slot.
+  EXPECT_EQ(countOf<board::SendPeer>(this->Out), 1);
+  this->finish(1, 1);
+  EXPECT_EQ(this->offer(request(2, 1)), 0);
+  EXPECT_EQ(countOf<board::SendPeer>(this->Out), 1);
+  EXPECT_EQ(this->offer(request(2, 2)), 1);
+}
+
+TEST_F(UpstreamRunsTest, NothingStartsAtItsDeadline) {
+  EXPECT_EQ(this->offer(request(1, 1), Start + seconds(5)), 0);
+  EXPECT_EQ(countOf<board::SendPeer>(this->Out), 1);
+}
+
+} // namespace
+} // namespace bilberry::requests
