--- a/bilberry/members/member_table.cc
+++ b/bilberry/members/member_table.cc
@@ -1,16 +1,13 @@
 #include "bilberry/members/member_table.h"
 
+#include "bilberry/routing/rendezvous.h"
+
 #include <algorithm>
 #include <mutex>
 #include <utility>
-#include <xxhash.h>
 
 namespace bilberry::members {
 
-static uint64_t hashOfName(const base::MemberName &Name) {
-  return XXH3_64bits(Name.text().data(), Name.text().size());
-}
-
 static bool isAgent(const Member &Value) {
   return Value.Role == MemberRole::Agent;
 }
@@ -145,7 +142,7 @@
         this->OutOfService.contains(Value.DataCentre)) {
       continue;
     }
-    RankedMember Ranked{Value, hashOfName(MemberName)};
+    RankedMember Ranked{Value, routing::memberHash(MemberName)};
     if (takesNewWork(Value) && !Item.SilentSince) {
       View->Placement.push_back(Ranked);
     }
