--- a/bilberry/requests/shard_group.cc
+++ b/bilberry/requests/shard_group.cc
@@ -115,6 +115,9 @@
 
 void ShardGroup::tick(const Surroundings &Around, const HolderStates &States,
                       std::vector<ShardEffects> &Out) {
+  if (this->IsSealed) {
+    return;
+  }
   this->rankMembers(Around);
   ReplicaContext Context = this->context(Around);
   for (uint32_t Shard = 0; Shard < ShardsPerService; ++Shard) {
@@ -126,6 +129,7 @@
 }
 
 void ShardGroup::seal() {
+  this->IsSealed = true;
   for (ShardReplica &Each : this->Replicas) {
     Each.seal();
   }
--- a/bilberry/requests/shard_group.h
+++ b/bilberry/requests/shard_group.h
@@ -73,7 +73,8 @@
   void tick(const Surroundings &Around, const HolderStates &States,
             std::vector<ShardEffects> &Out);
 
-  /// Stops deciding in every shard.
+  /// Stops deciding in every shard, for good: tick does nothing from then on,
+  /// so that the epochs stay those of the state that is left behind.
   void seal();
   size_t owned(const ShardHolder &Self) const;
   size_t backedUp(const ShardHolder &Self) const;
@@ -94,6 +95,7 @@
   std::shared_ptr<const members::ServiceView> RankedView;
   base::TimePoint RankedSince;
   base::TimePoint LastListed;
+  bool IsSealed = false;
   std::map<ShardHolder, base::TimePoint> DoubtedSince;
 };
 
--- a/bilberry/testing/request_fault_test.cc
+++ b/bilberry/testing/request_fault_test.cc
@@ -178,6 +178,7 @@
     {"planned restart of the owner",
      [](RequestCluster &Cluster, size_t O, size_t) {
        std::string State = Cluster.controller(O).snapshot();
+       Cluster.advance(milliseconds(500)); // The old run still ticks.
        Cluster.start(O, State);
      },
      nothing, 398, 2},
