Count acknowledged packets as evidence; answer no peer before the state is restored

A flow's acknowledged packets now raise the connection limit, which otherwise stays near the cold floor under long flows. An agent that restarts drops messages of flows and requests until its earlier state is back: an 'unknown' said before would have been untrue.

--- a/bilberry/agent/agent_core.h
+++ b/bilberry/agent/agent_core.h
@@ -70,6 +70,11 @@
         Requests(Board.Self, Board.Targets, Board.Members, this->Limits),
         Views(Board.Self, Board.Targets, Board.Members) {}
 
+  /// Call once restore() was called or there is nothing to restore. Until
+  /// then, messages of flows and requests are dropped: an answer from an agent
+  /// that hasn't its state yet would be untrue. Datagrams must not come before.
+  void beginServing() { this->IsServing.store(true); }
+
   /// A datagram has come to the data port. Any bytes are allowed.
   void onDatagram(base::TimePoint Now, const base::Address &From,
                   std::string_view Bytes);
@@ -138,6 +143,7 @@
   DropCounts Drops;
   metrics::LatencyHistogram RunTimes;
   std::atomic<base::Revision> CapacityRevision{0};
+  std::atomic<bool> IsServing{false};
   std::atomic<size_t> SnapshotCopies{0};
   std::atomic<size_t> SnapshotAnswers{0};
   mutable base::RankedMutex Mutex{base::LockRank::Adapter};
--- a/bilberry/agent/agent_core_impl.h
+++ b/bilberry/agent/agent_core_impl.h
@@ -110,6 +110,9 @@
   // A message is proof enough that its sender lives, whatever its lease.
   this->Board.Members.put(Now, Message.Sender);
   this->onSnapshotMessage(Now, Message);
+  if (!this->IsServing.load()) {
+    return;
+  }
   board::AgentActions Actions;
   this->Flows.onPeer(Now, Message, Actions);
   this->Requests.onPeer(Now, Message, Actions);
@@ -276,6 +279,7 @@
     }
   }
   if (GiveUpFlows) {
+    this->Limits.onUpstreamRestart(Now);
     this->Flows.onUpstreamLost(Now, Actions);
   }
   this->Flows.onTick(Now, Actions);
--- a/bilberry/agent/agent_daemon.cc
+++ b/bilberry/agent/agent_daemon.cc
@@ -172,6 +172,7 @@
     boost::this_fiber::sleep_for(TickInterval);
   }
   this->restoreFromPeers();
+  this->Agent->beginServing();
   this->ShardThread = std::jthread(
       [this](const std::stop_token &Token) { this->Shards->run(Token); });
   this->IsServing.store(true);
--- a/bilberry/node/view_exchange.cc
+++ b/bilberry/node/view_exchange.cc
@@ -1,8 +1,10 @@
 #include "bilberry/node/view_exchange.h"
 
+#include "bilberry/log/log.h"
 #include "bilberry/targets/target_document.h"
 
 #include <mutex>
+#include <string>
 #include <utility>
 
 namespace bilberry::node {
@@ -16,6 +18,8 @@
   base::Findings Problems;
   targets::Targets Document = targets::parseTargets(Text, "targets", Problems);
   if (!Problems.empty()) {
+    log::error("event=targets-rejected revision=" + std::to_string(Revision) +
+               " findings=\"" + Problems.text() + "\"");
     return false;
   }
   Document.Revision = Revision;
--- a/bilberry/routing/flow_controller.cc
+++ b/bilberry/routing/flow_controller.cc
@@ -209,10 +209,15 @@
   if (Flow == nullptr) {
     return;
   }
+  base::Duration SincePacket = Now - Flow->LastPacket;
   Flow->LastPacket = Now;
   switch (Event.Event) {
   case wire::FlowEvent::Opened:
   case wire::FlowEvent::Data:
+    if (!Flow->IsOpening && Event.Sequence > 0) {
+      // It acknowledges a packet: evidence that it bears what it has.
+      this->Limits.flowProgressed(Now, SincePacket);
+    }
     // Whatever the upstream sends for a flow, it has taken it.
     this->onOpened(Call, *Flow);
     Out.emplace_back(board::ReplyToFlow{
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -18,6 +18,7 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+DEFAULT_BUILD = ROOT / "build" / "release"
 HOST = "127.0.0.1"
 # Below the ports that Linux hands out to outgoing connections.
 FIRST_PORT = 20000
@@ -130,7 +131,7 @@
     """A whole deployment. Use as a context manager: leaving it ends all."""
 
     def __init__(self, name, build=None, keep=False, log_level="info", service_time_ms=20):
-        self.build = pathlib.Path(build or ROOT / "build" / "release")
+        self.build = pathlib.Path(build or DEFAULT_BUILD)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bilberry-"))
         self.keep = keep
         self.log_level = log_level
