--- a/bilberry/requests/shard_group.cc
+++ b/bilberry/requests/shard_group.cc
@@ -131,7 +131,7 @@
 void ShardGroup::seal() {
   this->IsSealed = true;
   for (ShardReplica &Each : this->Replicas) {
-    Each.seal();
+    Each.retire();
   }
 }
 
--- a/bilberry/requests/shard_replica.cc
+++ b/bilberry/requests/shard_replica.cc
@@ -1,6 +1,7 @@
 #include "bilberry/requests/shard_replica.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace bilberry::requests {
@@ -442,6 +443,10 @@
   this->ClosedUpTo = std::max(this->ClosedUpTo, this->epoch());
 }
 
+void ShardReplica::retire() {
+  this->ClosedUpTo = std::numeric_limits<uint64_t>::max();
+}
+
 void ShardReplica::resume(const StoredShard &Record, uint64_t CompleteAt,
                           const std::vector<wire::IntentEntry> &Entries,
                           const ShardHolder &EarlierRun) {
--- a/bilberry/requests/shard_replica.h
+++ b/bilberry/requests/shard_replica.h
@@ -126,9 +126,11 @@
   void tick(const ReplicaContext &Context, const ShardView &View,
             ReplicaEffects &Out);
 
-  /// Decides nothing more in the present epoch: our state is about to be left
-  /// with another process.
+  /// Decides and records nothing more in the present epoch.
   void seal();
+  /// Does so in every epoch, also one that a swap of ours still opens: our
+  /// state is about to be left with the next run, which counts on it.
+  void retire();
   /// Goes on from the state of an earlier run of this process, which was
   /// sealed. Precondition: nothing has happened to this replica.
   void resume(const StoredShard &Record, uint64_t CompleteAt,
