--- a/bilberry/testing/request_runs_test.cc
+++ b/bilberry/testing/request_runs_test.cc
@@ -1,5 +1,6 @@
 // What an agent does with requests that other owners pass to it.
 
+#include "bilberry/requests/shard_replica.h"
 #include "bilberry/requests/upstream_runs.h"
 
 #include <algorithm>
@@ -74,5 +75,23 @@
   EXPECT_EQ(countOf<board::SendPeer>(this->Out), 1);
 }
 
+/// A swap was under way when the state was left to the next run.
+TEST(RetiredReplica, DecidesNothingInAnEpochThatALateSwapOpens) {
+  const ShardHolder Self{base::MemberName("rounds-0"), 1};
+  const ReplicaContext Context{Start, Self, Start};
+  ReplicaEffects Effects;
+  ShardReplica Replica(0);
+  Replica.onRecord(Context, {0, {Self, {}, 1}, 1}, Effects);
+  Replica.retire();
+  Replica.onRecord(Context, {0, {Self, Owner, 2}, 2}, Effects);
+  Replica.onShardCopyReply(Context, Owner, {0, 2, true}, Effects);
+  wire::IntentEntry Entry{{0, 7}, 1, wire::Verdict::Run, Start + seconds(5)};
+  Replica.propose(Context, Entry, Effects);
+  Replica.onIntentReply(Context, Owner,
+                        {0, 2, Entry.Id, 1, true, wire::Verdict::Run}, Effects);
+  EXPECT_FALSE(Replica.isDeciding(Context));
+  EXPECT_TRUE(Effects.Decided.empty());
+}
+
 } // namespace
 } // namespace bilberry::requests
