End quiet upstream links on a stop; leave flows of a leaving data centre to it

Found by running the daemons. (1) An agent whose upstream was silent hung at exit: the link's read had no stop watcher, so its worker slept in epoll_wait for ever; agents beside a quiet upstream did not end after SIGHUP or SIGTERM. The waker of readLoop is now a class that both use. (2) A flow of a data centre that had just gone out was reset by another agent as 'no agent carries the flow', some ms before its holder ended it with the true reason. (3) An agent that has lost its upstream takes no new flows or requests. Also: plainer words where a revision isn't in force yet, and no quotes in the log's times.

--- a/bilberry/admission/upstream_limits.cc
+++ b/bilberry/admission/upstream_limits.cc
@@ -15,9 +15,14 @@
   this->Connections.setRule(Rule);
 }
 
+void UpstreamLimits::setReachable(bool Value) {
+  std::lock_guard Lock(this->Mutex);
+  this->IsReachable = Value;
+}
+
 bool UpstreamLimits::acquireSlot(base::TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
-  return this->Slots.acquire(Now);
+  return this->IsReachable && this->Slots.acquire(Now);
 }
 
 void UpstreamLimits::releaseSlot(base::TimePoint Now, Completion How,
@@ -29,7 +34,7 @@
 
 bool UpstreamLimits::acquireConnection(base::TimePoint Now) {
   std::lock_guard Lock(this->Mutex);
-  return this->Connections.acquire(Now);
+  return this->IsReachable && this->Connections.acquire(Now);
 }
 
 void UpstreamLimits::connectionSettled(base::TimePoint Now, Completion How,
--- a/bilberry/admission/upstream_limits.h
+++ b/bilberry/admission/upstream_limits.h
@@ -45,6 +45,10 @@
   /// it only stops new work until enough has ended.
   void setCapacity(const targets::UpstreamCapacity &Capacity);
 
+  /// While the upstream can't be reached, nothing new is taken. What is held
+  /// stays held. True at the start.
+  void setReachable(bool Value);
+
   /// Takes a slot for a request. False where none is free.
   bool acquireSlot(base::TimePoint Now);
   /// Gives a slot back. Precondition: one is held. Took counts for Done.
@@ -84,6 +88,7 @@
   WorkingLimit Connections;
   RetryBudget Retries;
   bool WasOverloaded = false;
+  bool IsReachable = true;
 };
 
 } // namespace bilberry::admission
--- a/bilberry/agent/agent_core.h
+++ b/bilberry/agent/agent_core.h
@@ -68,7 +68,9 @@
       : Board(Board), Out(Out),
         Flows(Board.Self, Board.Targets, Board.Members, this->Limits),
         Requests(Board.Self, Board.Targets, Board.Members, this->Limits),
-        Views(Board.Self, Board.Targets, Board.Members) {}
+        Views(Board.Self, Board.Targets, Board.Members) {
+    this->Limits.setReachable(false);
+  }
 
   /// Call once restore() was called or there is nothing to restore. Until
   /// then, messages of flows and requests are dropped: an answer from an agent
--- a/bilberry/agent/agent_core_impl.h
+++ b/bilberry/agent/agent_core_impl.h
@@ -166,6 +166,7 @@
   this->Limits.onUpstreamRestart(Now);
   this->Limits.adoptConnections(Now,
                                 static_cast<uint32_t>(this->Flows.carried()));
+  this->Limits.setReachable(true);
 }
 
 template <Outlet O>
@@ -174,6 +175,7 @@
     std::lock_guard Lock(this->Mutex);
     this->UpstreamLostAt = Now;
   }
+  this->Limits.setReachable(false);
   this->Runs.clear();
   board::AgentActions Actions;
   this->Requests.onUpstreamLost(Now, Actions);
--- a/bilberry/control/report.cc
+++ b/bilberry/control/report.cc
@@ -136,9 +136,9 @@
 
 std::string forceText(const targets::ForceStatus &Status) {
   std::string Text = "revision " + std::to_string(Status.Current);
-  Text +=
-      Status.inForce() ? " is in force at all " : " is not in force at all ";
-  Text += std::to_string(Status.Live) + " live processes\n";
+  std::string Live = std::to_string(Status.Live) + " live processes\n";
+  Text += Status.inForce() ? " is in force at all " + Live
+                           : " is not in force yet; " + Live;
   for (const Laggard &Late : Status.Behind) {
     Text += laggardText(Late, "not acknowledged: ");
   }
--- a/bilberry/links/upstream_link.cc
+++ b/bilberry/links/upstream_link.cc
@@ -89,6 +89,7 @@
                                  const runtime::StopFlag &Stop) {
   wire::UpstreamReader<wire::FromUpstream> Reader;
   std::vector<char> Buffer(ReadBytes);
+  runtime::StopWaker Waker(Connection, Stop);
   while (!Stop.isRequested()) {
     ssize_t Taken = recv(Connection, Buffer.data(), Buffer.size(), 0);
     if (Taken < 0 && (errno == EAGAIN || errno == EINTR)) {
--- a/bilberry/log/log.cc
+++ b/bilberry/log/log.cc
@@ -37,7 +37,7 @@
     Chosen = std::make_shared<log4cxx::JSONLayout>();
   } else {
     std::string Pattern =
-        "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p process=" + std::string(Process) +
+        "%d{yyyy-MM-dd HH:mm:ss.SSS} %p process=" + std::string(Process) +
         " %m%n";
     Chosen = std::make_shared<log4cxx::PatternLayout>(Pattern);
   }
--- a/bilberry/node/node.cc
+++ b/bilberry/node/node.cc
@@ -139,7 +139,7 @@
 }
 
 void Node::tickFence(base::TimePoint Now) {
-  if (!this->Pauses.isFenced()) {
+  if (!this->Pauses.isFenced() || this->Pauses.isClosed()) {
     this->FenceWasSeen = false;
     return;
   }
--- a/bilberry/routing/flow_asking.cc
+++ b/bilberry/routing/flow_asking.cc
@@ -224,6 +224,9 @@
   this->forEachParked(Key, Lost.Parked, [&](const Arrival &Packet) {
     if (Packet.Packet.opens()) {
       this->onArrival(Call, Packet);
+    } else if (this->mayEndElsewhere(Call)) {
+      logDecision(Call.Out, DecisionKind::PacketDropped, Key, {},
+                  "a data centre has just gone out of service");
     } else if (!HasReset) {
       this->resetUnknown(Call, Packet);
       HasReset = true;
@@ -231,6 +234,13 @@
   });
 }
 
+// Members of a data centre that has just gone out aren't asked any more, but
+// may not know of it yet. They end their flows themselves, and give the reason.
+bool FlowController::mayEndElsewhere(const Context &Call) const {
+  return !Call.Document->outOfService().empty() &&
+         Call.Now - this->ViewChangedAt < OpenSettleTime;
+}
+
 void FlowController::resetUnknown(const Context &Call, const Arrival &Packet) {
   Call.Out.emplace_back(
       board::ReplyToFlow{Packet.Header.Caller,
--- a/bilberry/routing/flow_controller.h
+++ b/bilberry/routing/flow_controller.h
@@ -203,6 +203,7 @@
   void conclude(const Context &Call, const base::FlowKey &Key);
   void concludeClaim(const Context &Call, const base::FlowKey &Key);
   void concludeQuery(const Context &Call, const base::FlowKey &Key);
+  bool mayEndElsewhere(const Context &Call) const;
   void resetUnknown(const Context &Call, const Arrival &Packet);
   void found(const Context &Call, const base::FlowKey &Key,
              const base::MemberName &Holder);
--- a/bilberry/runtime/pause_detector.h
+++ b/bilberry/runtime/pause_detector.h
@@ -48,6 +48,7 @@
     this->Fenced.store(true);
   }
 
+  bool isClosed() const { return this->Closed.load(); }
   bool isFenced() const { return this->Fenced.load(); }
   /// How many times a pause was noted.
   uint64_t pauses() const { return this->Pauses.load(); }
--- a/bilberry/runtime/worker_pool.cc
+++ b/bilberry/runtime/worker_pool.cc
@@ -2,7 +2,6 @@
 
 #include "bilberry/runtime/poll_scheduler.h"
 
-#include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
@@ -48,14 +47,23 @@
   this->Threads.clear();
 }
 
+StopWaker::StopWaker(int Fd, const StopFlag &Stop)
+    : Waker([this, Fd, &Stop] {
+        while (!Stop.isRequested() && !this->IsDone) {
+          boost::this_fiber::sleep_for(StopCheckInterval);
+        }
+        if (!this->IsDone) {
+          PollScheduler::release(Fd);
+        }
+      }) {}
+
+StopWaker::~StopWaker() {
+  this->IsDone = true;
+  this->Waker.join();
+}
+
 void readLoop(int Fd, const StopFlag &Stop, const std::function<bool()> &Step) {
-  // Wakes the reader once the flag is set, however silent the descriptor is.
-  boost::fibers::fiber Watcher([Fd, &Stop] {
-    while (!Stop.isRequested()) {
-      boost::this_fiber::sleep_for(StopCheckInterval);
-    }
-    PollScheduler::release(Fd);
-  });
+  StopWaker Waker(Fd, Stop);
   while (!Stop.isRequested()) {
     if (Step()) {
       boost::this_fiber::yield();
@@ -63,7 +71,6 @@
       PollScheduler::waitReadable(Fd);
     }
   }
-  Watcher.join();
 }
 
 void tickLoop(std::chrono::nanoseconds Interval, const StopFlag &Stop,
--- a/bilberry/runtime/worker_pool.h
+++ b/bilberry/runtime/worker_pool.h
@@ -5,6 +5,7 @@
 #define BILBERRY_RUNTIME_WORKER_POOL_H
 
 #include <atomic>
+#include <boost/fiber/fiber.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -58,6 +59,22 @@
 /// is there without waiting and say whether more may be left.
 void readLoop(int Fd, const StopFlag &Stop, const std::function<bool()> &Step);
 
+/// Wakes the fiber that waits for Fd once Stop is set, however silent the
+/// descriptor is. Lives as long as the waiting; ends within a moment of it.
+/// Use in the fiber's own thread.
+class StopWaker {
+public:
+  StopWaker(int Fd, const StopFlag &Stop);
+  /// Joins the waker.
+  ~StopWaker();
+  StopWaker(const StopWaker &) = delete;
+  StopWaker &operator=(const StopWaker &) = delete;
+
+private:
+  bool IsDone = false;
+  boost::fibers::fiber Waker;
+};
+
 /// Calls Step each Interval until Stop is set.
 void tickLoop(std::chrono::nanoseconds Interval, const StopFlag &Stop,
               const std::function<void()> &Step);
--- a/bilberry/testing/flow_controller_test.cc
+++ b/bilberry/testing/flow_controller_test.cc
@@ -210,6 +210,21 @@
   }
 }
 
+// A data centre goes out, and the agents there end their flows a moment later
+// than we know of it. Their flows are theirs to end, with the true reason.
+TEST(FlowController, LeavesFlowsOfADataCentreThatGoesOutToTheirHolder) {
+  Bench Setup;
+  Setup.Targets.advance(flowTargets(2, {flowAgent(1).DataCentre}), "");
+  Setup.Members.setOutOfService({flowAgent(1).DataCentre});
+  EXPECT_EQ(all<board::SendPeer>(Setup.packet(5, 0)).size(), 1U);
+  EXPECT_TRUE(
+      replies(Setup.answer(2, 5, wire::FlowKnowledge::Unknown)).empty());
+  Setup.tick(routing::OpenSettleTime);
+  EXPECT_EQ(all<board::SendPeer>(Setup.packet(5, 0)).size(), 1U);
+  EXPECT_EQ(replies(Setup.answer(2, 5, wire::FlowKnowledge::Unknown)),
+            Events{wire::FlowEvent::Reset});
+}
+
 TEST(FlowController, ParksABoundedNumberOfPackets) {
   Bench Setup;
   for (size_t Packet = 0; Packet < 3 * routing::MaxParkedPerFlow; ++Packet) {
--- a/bilberry/testing/upstream_limits_test.cc
+++ b/bilberry/testing/upstream_limits_test.cc
@@ -53,6 +53,15 @@
   UpstreamLimits Limits;
 };
 
+TEST_F(UpstreamLimitsTest, TakesNothingWhileTheUpstreamIsOutOfReach) {
+  this->Limits.setReachable(false);
+  EXPECT_FALSE(this->Limits.acquireSlot(this->Now));
+  EXPECT_FALSE(this->Limits.acquireConnection(this->Now));
+  this->Limits.setReachable(true);
+  EXPECT_TRUE(this->Limits.acquireSlot(this->Now));
+  EXPECT_TRUE(this->Limits.acquireConnection(this->Now));
+}
+
 TEST_F(UpstreamLimitsTest, NothingIsAdmittedBeforeTheTargetsAreKnown) {
   UpstreamLimits Unknown;
   EXPECT_FALSE(Unknown.acquireSlot(this->Now));
