Let a leaving backup go where no other agent can take its place

Cause: the owner kept a leaving backup when there was no third agent, so of the last two agents of a service the backup's drain never ended (seen: SIGTERM to one of two photos agents, alive after 25 s with '32 shards'). Ruled out: the hang at exit mended before; the log had no 'drained'. Change: the owner swaps to no backup and goes on alone, a case that the exhaustive search covers; its price is that a successor of an owner that dies alone waits (docs/REQUESTS.md). Test seen red for both agents, then green; the search finds no violation.

--- a/bilberry/requests/shard_replica.cc
+++ b/bilberry/requests/shard_replica.cc
@@ -552,9 +552,6 @@
     return;
   }
   ShardHolder Next = chooseBackup(View.Ranked, Context.Self);
-  if (Next.Name.empty() && IsUsable) {
-    Next = Backup; // Leaving, but there is no other.
-  }
   if (Next != Backup || this->isSealed()) {
     this->swap(Context.Self, Next, "new backup", Out);
   }
--- a/bilberry/testing/request_fault_test.cc
+++ b/bilberry/testing/request_fault_test.cc
@@ -241,6 +241,24 @@
   }
 }
 
+// Of the last two agents of a service either one may leave: the other goes on
+// alone. A backup that waits for another to take its place would never end.
+TEST(RequestFaults, EitherOfTwoAgentsCanDrain) {
+  for (size_t Leaving : {0U, 1U}) {
+    SCOPED_TRACE(Leaving);
+    RequestCluster Cluster(2, 23);
+    Cluster.advance(Settling);
+    Cluster.setState(Leaving, members::MemberState::Draining);
+    Cluster.advance(seconds(5));
+    EXPECT_EQ(Cluster.controller(Leaving).shardsHeld(), 0U);
+    base::RequestId Id = idIn(3, 1);
+    Cluster.send(1 - Leaving, Id, 1, Cluster.now() + seconds(4));
+    Cluster.advance(seconds(1));
+    EXPECT_EQ(Cluster.runs(Id), 1);
+    EXPECT_EQ(Cluster.violations(), "");
+  }
+}
+
 TEST(RequestFaults, ACopyAfterTheAnswerGetsTheSameAnswer) {
   RequestCluster Cluster(3, 13);
   Cluster.advance(Settling);
