--- a/examples/embedded_balancer.cc
+++ b/examples/embedded_balancer.cc
@@ -18,7 +18,7 @@
 // Where the balancer's output goes: your sockets, your event loop.
 class PrintingOutlet {
 public:
-  void sendDatagram(const base::Address &To, std::string Header,
+  void sendDatagram(const base::Address &To, const std::string &Header,
                     std::string_view Payload) {
     std::cout << "datagram of " << Header.size() + Payload.size()
               << " bytes to " << base::addressText(To) << "\n";
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -11,6 +11,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -63,6 +64,17 @@
         return None
 
 
+def is_free(port):
+    """True where nobody holds the port, of TCP or UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                return False
+    return True
+
+
 class Process:
     """One process: its command line, its log file, and how to signal it."""
 
@@ -162,10 +174,13 @@
     # Plan: who has which address.
 
     def address(self):
-        self.next_port += 1
-        if self.next_port > LAST_PORT:
-            self.next_port = FIRST_PORT
-        return f"{HOST}:{self.next_port}"
+        """The next address that no other program holds."""
+        while True:
+            self.next_port += 1
+            if self.next_port > LAST_PORT:
+                self.next_port = FIRST_PORT
+            if is_free(self.next_port):
+                return f"{HOST}:{self.next_port}"
 
     def plan(self):
         self.store = self.address()
