--- a/bilberry/agent/agent_daemon.cc
+++ b/bilberry/agent/agent_daemon.cc
@@ -6,7 +6,6 @@
 #include "bilberry/links/upstream_link.h"
 #include "bilberry/log/log.h"
 #include "bilberry/node/node.h"
-#include "bilberry/node/status_server.h"
 #include "bilberry/runtime/udp_socket.h"
 #include "bilberry/runtime/worker_pool.h"
 
@@ -25,8 +24,6 @@
 static constexpr std::chrono::seconds MaxHandOverWait(5);
 // Peers that keep a copy of a restarting agent's state.
 static constexpr size_t SnapshotCopies = 2;
-// Messages taken from the peers before the other fibers have their turn.
-static constexpr int PeerMessagesPerTurn = 32;
 
 std::string Remaining::text() const {
   return std::to_string(this->Flows) + " flows, " +
@@ -84,7 +81,6 @@
   void readData();
   bool takeData(runtime::ReceiveBatch &Batch);
   void readPeers();
-  bool takePeers();
   void tick();
   void begin();
   void restoreFromPeers();
@@ -97,7 +93,6 @@
   std::optional<Core> Agent;
   std::optional<links::UpstreamLink> Upstream;
   std::optional<Follower> Shards;
-  std::optional<node::StatusServer> Pages;
   std::atomic<bool> IsServing{false};
   std::atomic<uint64_t> FencedDatagrams{0};
   std::jthread ShardThread;
@@ -138,14 +133,13 @@
   if (base::Result<void> Started = this->Node.start(); !Started) {
     return Started;
   }
-  if (Settings.Metrics) {
-    this->Pages.emplace(
-        [this] { return metricsPage(this->status(), this->Agent->runTimes()); },
-        [this] { return statusPage(this->status()); });
-    if (base::Result<void> Started = this->Pages->start(*Settings.Metrics);
-        !Started) {
-      return Started;
-    }
+  if (base::Result<void> Serving = this->Node.servePages(
+          [this] {
+            return metricsPage(this->status(), this->Agent->runTimes());
+          },
+          [this] { return statusPage(this->status()); });
+      !Serving) {
+    return Serving;
   }
   this->addFibers();
   this->Pool.start();
@@ -244,40 +238,17 @@
                     [&] { return this->takeData(Batch); });
 }
 
-bool AgentDaemon::Impl::takePeers() {
-  for (int I = 0; I < PeerMessagesPerTurn; ++I) {
-    base::TimePoint Now = this->Node.clock().now();
-    std::optional<wire::PeerMessage> Message = this->Node.links().receive(Now);
-    if (!Message) {
-      return false;
-    }
-    bool IsOpen = this->Node.pauses().check(Now);
-    bool IsView = std::holds_alternative<wire::View>(Message->Body);
-    // What a paused or stopping process still has to hear.
-    bool PassesFence =
-        IsView || std::holds_alternative<wire::SnapshotPutReply>(Message->Body);
-    if (IsOpen || PassesFence) {
-      this->Agent->onPeer(Now, *Message);
-    }
-    if (IsView) {
-      this->Node.onViewTaken();
-    }
-  }
-  return true;
-}
-
 void AgentDaemon::Impl::readPeers() {
+  auto Take = [this](base::TimePoint Now, const wire::PeerMessage &Message) {
+    this->Agent->onPeer(Now, Message);
+  };
   runtime::readLoop(this->Node.links().receiveFd(), this->Pool.stopFlag(),
-                    [this] { return this->takePeers(); });
+                    [&] { return this->Node.takePeers(Take); });
 }
 
 void AgentDaemon::Impl::tick() {
   base::TimePoint Now = this->Node.clock().now();
-  bool IsOpen = this->Node.pauses().check(Now);
-  this->Node.tickFence(Now);
-  this->Node.tickSeeds(Now);
-  this->Node.tickMembers(Now);
-  this->Node.links().tick(Now);
+  bool IsOpen = this->Node.tick(Now);
   this->Upstream->tick(Now);
   if (!IsOpen || !this->IsServing.load()) {
     return;
@@ -317,7 +288,7 @@
     : Inner(std::make_unique<Impl>(Settings)) {}
 
 AgentDaemon::~AgentDaemon() {
-  this->Inner->Pages.reset();
+  this->Inner->Node.stopPages();
   this->Inner->Pool.stop();
 }
 
--- a/bilberry/balancer/balancer_daemon.cc
+++ b/bilberry/balancer/balancer_daemon.cc
@@ -4,7 +4,6 @@
 #include "bilberry/balancer/balancer_pages.h"
 #include "bilberry/log/log.h"
 #include "bilberry/node/node.h"
-#include "bilberry/node/status_server.h"
 #include "bilberry/runtime/udp_socket.h"
 #include "bilberry/runtime/worker_pool.h"
 
@@ -16,7 +15,6 @@
 
 static constexpr std::chrono::milliseconds TickInterval(50);
 static constexpr std::chrono::seconds ProbeInterval(1);
-static constexpr int PeerMessagesPerTurn = 32;
 
 namespace {
 
@@ -64,9 +62,7 @@
   void addFibers();
   void readData();
   bool takeData(runtime::ReceiveBatch &Batch, BatchOutlet &Out);
-  bool takePeers(BatchOutlet &Out);
   void readPeers();
-  void tick();
   void probe();
   void announceWhenReady();
   BalancerStatus status() const;
@@ -74,7 +70,6 @@
   mutable node::Node Node;
   BalancerCore Balancer;
   std::optional<runtime::UdpSocket> Data;
-  std::optional<node::StatusServer> Pages;
   std::atomic<int64_t> LastEnvelope;
   std::atomic<uint64_t> FencedDatagrams{0};
   runtime::WorkerPool Pool;
@@ -91,13 +86,11 @@
   if (base::Result<void> Started = this->Node.start(); !Started) {
     return Started;
   }
-  if (Settings.Metrics) {
-    this->Pages.emplace([this] { return metricsPage(this->status()); },
-                        [this] { return statusPage(this->status()); });
-    if (base::Result<void> Started = this->Pages->start(*Settings.Metrics);
-        !Started) {
-      return Started;
-    }
+  if (base::Result<void> Serving =
+          this->Node.servePages([this] { return metricsPage(this->status()); },
+                                [this] { return statusPage(this->status()); });
+      !Serving) {
+    return Serving;
   }
   this->addFibers();
   this->Pool.start();
@@ -111,7 +104,7 @@
   this->Pool.add(0, [this] { this->readPeers(); });
   this->Pool.add(0, [this] {
     runtime::tickLoop(TickInterval, this->Pool.stopFlag(),
-                      [this] { this->tick(); });
+                      [this] { this->Node.tick(this->Node.clock().now()); });
   });
   this->Pool.add(0, [this] {
     runtime::tickLoop(ProbeInterval, this->Pool.stopFlag(),
@@ -158,34 +151,13 @@
                     [&] { return this->takeData(Batch, Out); });
 }
 
-bool BalancerDaemon::Impl::takePeers(BatchOutlet &Out) {
-  for (int I = 0; I < PeerMessagesPerTurn; ++I) {
-    base::TimePoint Now = this->Node.clock().now();
-    std::optional<wire::PeerMessage> Message = this->Node.links().receive(Now);
-    if (!Message) {
-      return false;
-    }
-    this->Balancer.onPeer(Now, *Message, Out);
-    if (std::holds_alternative<wire::View>(Message->Body)) {
-      this->Node.onViewTaken();
-    }
-  }
-  return true;
-}
-
 void BalancerDaemon::Impl::readPeers() {
   BatchOutlet Out(this->Node, *this->Data);
+  auto Take = [&](base::TimePoint Now, const wire::PeerMessage &Message) {
+    this->Balancer.onPeer(Now, Message, Out);
+  };
   runtime::readLoop(this->Node.links().receiveFd(), this->Pool.stopFlag(),
-                    [&] { return this->takePeers(Out); });
-}
-
-void BalancerDaemon::Impl::tick() {
-  base::TimePoint Now = this->Node.clock().now();
-  this->Node.pauses().check(Now);
-  this->Node.tickFence(Now);
-  this->Node.tickSeeds(Now);
-  this->Node.tickMembers(Now);
-  this->Node.links().tick(Now);
+                    [&] { return this->Node.takePeers(Take); });
 }
 
 void BalancerDaemon::Impl::probe() {
@@ -212,7 +184,7 @@
     : Inner(std::make_unique<Impl>(Settings)) {}
 
 BalancerDaemon::~BalancerDaemon() {
-  this->Inner->Pages.reset();
+  this->Inner->Node.stopPages();
   this->Inner->Pool.stop();
 }
 
--- a/bilberry/node/node.cc
+++ b/bilberry/node/node.cc
@@ -12,6 +12,9 @@
 
 namespace bilberry::node {
 
+// Messages taken from the peers before the other fibers have their turn.
+static constexpr int PeerMessagesPerTurn = 32;
+
 // A run's number: later runs of one name on one VM are higher as long as the
 // VM's clock doesn't go back between them.
 static base::Incarnation newIncarnation(const base::SteadyClock &Clock) {
@@ -64,6 +67,46 @@
   return boost::outcome_v2::success();
 }
 
+base::Result<void> Node::servePages(PageBuilder Metrics, PageBuilder Status) {
+  if (!this->Settings.Metrics) {
+    return boost::outcome_v2::success();
+  }
+  this->Pages.emplace(std::move(Metrics), std::move(Status));
+  return this->Pages->start(*this->Settings.Metrics);
+}
+
+bool Node::tick(base::TimePoint Now) {
+  bool IsOpen = this->Pauses.check(Now);
+  this->tickFence(Now);
+  this->tickSeeds(Now);
+  this->Watcher.tick(Now);
+  this->Links.tick(Now);
+  return IsOpen;
+}
+
+bool Node::takePeers(
+    const std::function<void(base::TimePoint, const wire::PeerMessage &)>
+        &OnMessage) {
+  for (int I = 0; I < PeerMessagesPerTurn; ++I) {
+    base::TimePoint Now = this->Clock.now();
+    std::optional<wire::PeerMessage> Message = this->Links.receive(Now);
+    if (!Message) {
+      return false;
+    }
+    bool IsView = std::holds_alternative<wire::View>(Message->Body);
+    bool PassesFence =
+        IsView || std::holds_alternative<wire::SnapshotPutReply>(Message->Body);
+    if (this->Pauses.check(Now) || PassesFence) {
+      OnMessage(Now, *Message);
+    }
+    if (IsView) {
+      // A peer's view is as good as the store's.
+      this->Pauses.refreshed();
+    }
+  }
+  return true;
+}
+
 void Node::announce() {
   this->AnnouncerThread = std::jthread(
       [this](const std::stop_token &Stop) { this->keepAnnounced(Stop); });
--- a/bilberry/node/node.h
+++ b/bilberry/node/node.h
@@ -13,12 +13,15 @@
 #include "bilberry/members/member_table.h"
 #include "bilberry/members/member_watcher.h"
 #include "bilberry/node/job_thread.h"
+#include "bilberry/node/status_server.h"
 #include "bilberry/runtime/pause_detector.h"
 #include "bilberry/settings/process_settings.h"
 #include "bilberry/store/etcd_store.h"
 #include "bilberry/targets/target_table.h"
 
 #include <atomic>
+#include <functional>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -67,18 +70,26 @@
   /// True once this process knows targets, from the store or a peer.
   bool knowsTargets() const { return this->Targets.current()->Revision > 0; }
 
-  /// Opens the fence where the process has been paused and knows the present
-  /// again. Call several times a second.
-  void tickFence(base::TimePoint Now);
-  /// A peer's view has come: as good as the store to open the fence.
-  void onViewTaken() { this->Pauses.refreshed(); }
-  /// Lets time pass for members that are silent. Call about once a second.
-  void tickMembers(base::TimePoint Now) { this->Watcher.tick(Now); }
-  /// Asks the seeds for their view while this process knows no targets. Call
-  /// several times a second.
-  void tickSeeds(base::TimePoint Now);
+  /// Serves the pages where the settings name an address for them. Call once.
+  /// Errors: System.
+  base::Result<void> servePages(PageBuilder Metrics, PageBuilder Status);
+  /// Stops serving pages, before what they look at is destroyed.
+  void stopPages() { this->Pages.reset(); }
+
+  /// Heartbeats, silent members, seeds, and the fence. Call several times a
+  /// second. False while the fence is closed.
+  bool tick(base::TimePoint Now);
+
+  /// Gives each message that has come from a peer to OnMessage, up to a turn's
+  /// worth; true where more may be left. While the fence is closed, only those
+  /// pass that open it or end a restart.
+  bool takePeers(
+      const std::function<void(base::TimePoint, const wire::PeerMessage &)>
+          &OnMessage);
 
 private:
+  void tickFence(base::TimePoint Now);
+  void tickSeeds(base::TimePoint Now);
   void keepAnnounced(const std::stop_token &Stop);
   void takeTargets(const store::KeyValue &Entry);
   void refreshTargets();
@@ -101,6 +112,7 @@
   std::vector<std::jthread> Followers;
   std::jthread AnnouncerThread;
   JobThread StoreJobs;
+  std::optional<StatusServer> Pages;
 };
 
 } // namespace bilberry::node
