--- a/scripts/lib/proofs.py
+++ b/scripts/lib/proofs.py
@@ -11,7 +11,7 @@
 from deployment import Deployment, DeploymentError, http, try_http, wait_until
 from load import Load, check_promises
 
-# How long news may take to be everywhere; the brief says "a few seconds".
+# How long news may take to be everywhere: "a few seconds".
 NEWS_SECONDS = 4.0
 LEASE_SECONDS = 6.0
 
