--- a/bilberry/links/link_health.h
+++ b/bilberry/links/link_health.h
@@ -48,10 +48,6 @@
     }
     return LinkStep::None;
   }
-  /// True while the other side answers.
-  bool isAnswering(base::TimePoint Now) const {
-    return Now - this->LastAnswer < SilentAfter;
-  }
 
 private:
   base::TimePoint LastUse;
--- a/bilberry/node/job_thread.h
+++ b/bilberry/node/job_thread.h
@@ -28,12 +28,6 @@
     this->Wakeup.notify_one();
   }
 
-  /// Jobs that wait.
-  size_t waiting() const {
-    std::lock_guard Lock(this->Mutex);
-    return this->Jobs.size();
-  }
-
 private:
   void run(const std::stop_token &Stop) {
     while (true) {
--- a/bilberry/node/node.h
+++ b/bilberry/node/node.h
@@ -64,8 +64,6 @@
   store::EtcdStore &store() { return this->Store; }
   const store::EtcdStore &store() const { return this->Store; }
   runtime::PauseDetector &pauses() { return this->Pauses; }
-  /// Runs blocking calls to the store in turn.
-  JobThread &storeJobs() { return this->StoreJobs; }
 
   /// True once this process knows targets, from the store or a peer.
   bool knowsTargets() const { return this->Targets.current()->Revision > 0; }
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -309,13 +309,6 @@
         except json.JSONDecodeError:
             return done.returncode, {"text": done.stdout + done.stderr}
 
-    def member_count(self):
-        _, status = self.ctl("status")
-        return len(status.get("members", []))
-
-    def statuses(self):
-        return {item.name: try_http(item.metrics, "/status") for item in self.upstreams}
-
     def wait_in_service(self):
         """Until every process is announced, knows all others, and shards have owners."""
         names = [(item.name, item.metrics) for item in self.upstreams]
