--- /dev/null
+++ b/bilberry/agent/packet_agent.cc
@@ -0,0 +1,465 @@
+#include "bilberry/agent/packet_agent.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::agent {
+
+using packet::FlowId;
+using packet::HopTag;
+using packet::Packet;
+using packet::PacketActions;
+using routing::FlowStage;
+using routing::HeldFlow;
+
+// An upstream whose first heartbeats we get has started beside us.
+static constexpr uint64_t FirstReports = 2;
+// Copies of an opening packet come within 600 ms of the first.
+static constexpr base::Duration CopyLife = std::chrono::milliseconds(1500);
+// An upstream on the same machine gives a packet back within this time.
+static constexpr base::Duration ProbeDelay = std::chrono::milliseconds(50);
+
+PacketAgent::PacketAgent(AgentIdentity Self, admission::ColdAllowance Cold,
+                         base::TimePoint StartedAt,
+                         const targets::OperatorBoard &Board)
+    : Self(std::move(Self)), StartedAt(StartedAt), Board(Board),
+      Operators(Board.current()), Gate(this->Self.DataCentre, Cold, StartedAt),
+      NextStatus(StartedAt) {}
+
+admission::OpeningContext PacketAgent::contextOf(base::TimePoint Now) {
+  this->Operators = this->Board.current();
+  return {Now, this->Upstream, *this->Operators, this->Flows.size()};
+}
+
+// Callers' packets.
+
+void PacketAgent::onCallerPacket(base::TimePoint Now, const base::Address &From,
+                                 const Packet &Packet, PacketActions &Out) {
+  if (Packet.opensFlow()) {
+    this->onOpening(Now, From, Packet, Out);
+    return;
+  }
+  HeldFlow *Flow = this->Flows.find(Packet.callersFlow());
+  if (Flow && Flow->IsProbe) {
+    this->onProbed(Now, From, Packet, *Flow, Out);
+  } else if (Flow && this->belongsHere(*Flow, Packet)) {
+    this->deliver(Now, From, Packet, *Flow, Out);
+  } else if (Flow || this->knowsAllFlows(Now)) {
+    this->giveBack(From, Packet, HopTag::NotHeld, Out);
+  } else {
+    this->probe(Now, From, Packet, Out);
+  }
+}
+
+void PacketAgent::onOpening(base::TimePoint Now, const base::Address &From,
+                            const Packet &Packet, PacketActions &Out) {
+  FlowId Id = Packet.callersFlow();
+  HeldFlow *Known = this->Flows.find(Id);
+  bool IsCopy = Known && Now - Known->OpenedAt < CopyLife;
+  if (IsCopy && Known->Stage != FlowStage::Opening) {
+    ++this->Counts.Dropped;
+    return;
+  }
+  HopTag Reason = this->IsStopping
+                      ? HopTag::NoUpstream
+                      : this->Gate.check(this->contextOf(Now),
+                                         Packet.Destination, Packet.Mark);
+  if (Reason != HopTag::None) {
+    // The upstream answers the first copy; this one is not needed.
+    if (IsCopy) {
+      ++this->Counts.Dropped;
+      return;
+    }
+    Out.Decisions.push_back({"flow-returned", Id, From,
+                             packet::hopTagText(Reason),
+                             Packet.Mark.RouteVersion});
+    this->giveBack(From, Packet, Reason, Out);
+    return;
+  }
+  if (!IsCopy) {
+    Known = &this->Flows.start(Now, Id, FlowStage::Opening);
+    ++this->Counts.Opened;
+    Out.Decisions.push_back({"flow-taken", Id, From,
+                             this->Upstream.isCold(Now) ? "cold" : "warm",
+                             Packet.Mark.RouteVersion});
+  }
+  this->Gate.noteOpened(Now);
+  this->deliver(Now, From, Packet, *Known, Out);
+}
+
+// Whether a packet that isn't an opening one is of this flow as our upstream
+// holds it. A caller whose opening packet reached two upstreams acknowledges
+// the sequence number of one.
+bool PacketAgent::belongsHere(HeldFlow &Flow, const Packet &Packet) const {
+  if (Flow.Stage != FlowStage::Opening || Packet.IsReset) {
+    return true;
+  }
+  bool IsOurs = Flow.IsAnswered && routing::acknowledges(Packet.Acknowledged,
+                                                         Flow.UpstreamSequence);
+  if (IsOurs) {
+    Flow.Stage = FlowStage::Open;
+  }
+  return IsOurs;
+}
+
+void PacketAgent::deliver(base::TimePoint Now, const base::Address &From,
+                          const Packet &Packet, HeldFlow &Flow,
+                          PacketActions &Out) {
+  Flow.LastPacket = Now;
+  Flow.Balancer = From;
+  if (Packet.IsAck) {
+    Flow.CallerAcknowledged = Packet.Acknowledged;
+  }
+  if (Packet.DataBytes > 0 && Flow.Stage == FlowStage::Open) {
+    this->Flows.setWorking(Flow, true);
+    this->Gate.noteAsked(Now);
+  }
+  this->Flows.noteEnd(Flow, Packet, true);
+  ++this->Counts.Delivered;
+  Out.Packets.push_back(
+      {packet::Receiver::Upstream, {}, Packet.Bytes, {}, false});
+}
+
+// Asks the upstream by giving it the packet.
+void PacketAgent::probe(base::TimePoint Now, const base::Address &From,
+                        const Packet &Packet, PacketActions &Out) {
+  bool IsKnown = Packet.Mark.Tag == HopTag::Holder;
+  HeldFlow &Flow =
+      this->Flows.start(Now, Packet.callersFlow(),
+                        IsKnown ? FlowStage::Open : FlowStage::Opening);
+  Flow.IsProbe = !IsKnown;
+  ++this->Counts.Probes;
+  Out.Decisions.push_back({"flow-probed", Packet.callersFlow(), From,
+                           packet::hopTagText(Packet.Mark.Tag),
+                           Packet.Mark.RouteVersion});
+  this->deliver(Now, From, Packet, Flow, Out);
+}
+
+// More of a flow that the upstream was asked about. It gives back at once what
+// it doesn't hold, and is silent where it does and has nothing to say.
+void PacketAgent::onProbed(base::TimePoint Now, const base::Address &From,
+                           const Packet &Packet, HeldFlow &Flow,
+                           PacketActions &Out) {
+  if (Now - Flow.OpenedAt < ProbeDelay) {
+    ++this->Counts.Dropped;
+    return;
+  }
+  Flow.IsProbe = false;
+  Flow.Stage = FlowStage::Open;
+  this->deliver(Now, From, Packet, Flow, Out);
+}
+
+void PacketAgent::giveBack(const base::Address &To, const Packet &Packet,
+                           HopTag Reason, PacketActions &Out) {
+  ++this->Counts.Returned;
+  uint64_t Version =
+      this->Operators->Routes ? this->Operators->Routes->Version : 0;
+  Out.Packets.push_back({packet::Receiver::Peer,
+                         To,
+                         Packet.Bytes,
+                         {static_cast<uint32_t>(Version), Reason},
+                         true});
+}
+
+// The upstream's packets.
+
+void PacketAgent::onUpstreamPacket(base::TimePoint Now, const Packet &Packet,
+                                   PacketActions &Out) {
+  this->Gate.noteHeard();
+  if (Packet.IsBounced) {
+    this->onBounced(Now, Packet, Out);
+    return;
+  }
+  FlowId Id = Packet.upstreamsFlow();
+  HeldFlow *Flow = this->Flows.find(Id);
+  if (!Flow) {
+    Flow = &this->Flows.start(
+        Now, Id, Packet.IsSyn ? FlowStage::Opening : FlowStage::Open);
+  }
+  Flow->LastPacket = Now;
+  Flow->IsProbe = false;
+  if (Packet.IsSyn) {
+    Flow->IsAnswered = true;
+    Flow->UpstreamSequence = Packet.Sequence;
+  } else if (Flow->Stage == FlowStage::Opening) {
+    Flow->Stage = FlowStage::Open;
+  }
+  if (Packet.DataBytes > 0) {
+    this->Flows.setWorking(*Flow, false);
+  }
+  this->Flows.noteEnd(*Flow, Packet, false);
+  ++this->Counts.ToCallers;
+  Out.Packets.push_back(
+      {packet::Receiver::Caller, Packet.Destination, Packet.Bytes, {}, false});
+}
+
+// The upstream has given a caller's packet back.
+void PacketAgent::onBounced(base::TimePoint Now, const Packet &Packet,
+                            PacketActions &Out) {
+  ++this->Counts.Bounced;
+  FlowId Id = Packet.callersFlow();
+  HeldFlow *Flow = this->Flows.find(Id);
+  if (!Flow || Flow->Stage == FlowStage::Ending) {
+    ++this->Counts.Dropped;
+    return;
+  }
+  if (Flow->Stage == FlowStage::Open) {
+    this->reset(Now, Id, *Flow, "the upstream doesn't hold it", Out);
+    return;
+  }
+  HopTag Reason = Packet.opensFlow() ? HopTag::Shed : HopTag::NotHeld;
+  base::Address Balancer = Flow->Balancer;
+  this->Flows.erase(Id);
+  Out.Decisions.push_back(
+      {"flow-returned", Id, Balancer, packet::hopTagText(Reason), 0});
+  this->giveBack(Balancer, Packet, Reason, Out);
+}
+
+void PacketAgent::reset(base::TimePoint Now, const FlowId &Id, HeldFlow &Flow,
+                        std::string_view Reason, PacketActions &Out) {
+  Out.Resets.push_back({Id, Flow.CallerAcknowledged});
+  Out.Decisions.push_back({"flow-reset", Id, {}, Reason, 0});
+  ++this->Counts.Resets;
+  if (Flow.IsPublished) {
+    this->Ended.push_back(Id);
+  }
+  this->Flows.setWorking(Flow, false);
+  Flow.Stage = FlowStage::Ending;
+  Flow.LastPacket = Now;
+}
+
+// The upstream that held them is gone: their callers need not wait.
+void PacketAgent::resetFlowsBefore(base::TimePoint Now,
+                                   base::TimePoint OpenedBefore,
+                                   std::string_view Reason,
+                                   PacketActions &Out) {
+  for (auto &[Id, Flow] : this->Flows.all()) {
+    if (Flow.Stage == FlowStage::Open && Flow.OpenedAt < OpenedBefore) {
+      this->reset(Now, Id, Flow, Reason, Out);
+    }
+  }
+}
+
+// The upstream's own words.
+
+members::ReportOutcome
+PacketAgent::onReport(base::TimePoint Now,
+                      const members::UpstreamReport &Report,
+                      PacketActions &Out) {
+  bool HadRun = this->Upstream.present().has_value();
+  base::TimePoint LastHeard = this->Upstream.heardAt();
+  members::ReportOutcome Outcome = this->Upstream.take(Now, Report);
+  switch (Outcome) {
+  case members::ReportOutcome::Stale:
+    ++this->Counts.StaleReports;
+    return Outcome;
+  case members::ReportOutcome::NewRun:
+    // What was open while the earlier run still spoke was the earlier run's.
+    // Later flows may be the new one's; it gives back what it doesn't hold.
+    if (HadRun) {
+      this->resetFlowsBefore(Now, LastHeard, "its upstream was restarted", Out);
+    }
+    this->SawUpstreamStart = HadRun || Report.Sequence <= FirstReports;
+    this->LeftAt.reset();
+    break;
+  case members::ReportOutcome::Known:
+    break;
+  }
+  this->Gate.noteHeard();
+  wire::AgentStatus Status = this->status(Now);
+  if (Status.Condition != this->ToldCondition) {
+    this->tellAll(Now, Out);
+  }
+  return Outcome;
+}
+
+void PacketAgent::onLeave(base::TimePoint Now, const std::string &Id,
+                          PacketActions &Out) {
+  if (this->Upstream.leave(Id)) {
+    this->LeftAt = Now;
+    this->tellAll(Now, Out);
+  }
+}
+
+// Balancers.
+
+void PacketAgent::onMessage(base::TimePoint Now, const base::Address &From,
+                            const wire::RelayMessage &Message,
+                            PacketActions &Out) {
+  if (const auto *Hello = std::get_if<wire::BalancerHello>(&Message)) {
+    this->onHello(Now, From, *Hello, Out);
+  } else if (const auto *Recalled =
+                 std::get_if<wire::FlowsRecalled>(&Message)) {
+    this->onRecalled(Now, *Recalled);
+  } else if (const auto *Query = std::get_if<wire::HolderQuery>(&Message)) {
+    this->onQuery(Now, From, *Query, Out);
+  }
+}
+
+void PacketAgent::onHello(base::TimePoint Now, const base::Address &From,
+                          const wire::BalancerHello &Hello,
+                          PacketActions &Out) {
+  Balancer &Known = this->Balancers[From];
+  bool IsNew = Known.Run != Hello.Run;
+  Known = {Hello.Run, Now};
+  if (Hello.News.Changed > this->NewsHeard.Changed) {
+    this->NewsHeard = Hello.News;
+  }
+  if (!IsNew) {
+    return;
+  }
+  wire::AgentStatus Status = this->status(Now);
+  Status.Opened.clear();
+  Status.Ended.clear();
+  for (auto &[Id, Flow] : this->Flows.all()) {
+    if (!Flow.IsPublished || Flow.Stage != FlowStage::Open) {
+      continue;
+    }
+    Status.Opened.push_back(Id);
+    if (Status.Opened.size() == wire::MaxFlowsPerMessage) {
+      Out.Messages.push_back({From, Status});
+      Status.Opened.clear();
+    }
+  }
+  Out.Messages.push_back({From, std::move(Status)});
+}
+
+// Flows that an earlier run of this process was known to hold.
+void PacketAgent::onRecalled(base::TimePoint Now,
+                             const wire::FlowsRecalled &Recalled) {
+  if (Recalled.AgentRun != this->Self.Run) {
+    return;
+  }
+  for (const FlowId &Id : Recalled.Flows) {
+    if (!this->Flows.find(Id)) {
+      this->Flows.start(Now, Id, FlowStage::Open).IsPublished = true;
+    }
+  }
+}
+
+void PacketAgent::onQuery(base::TimePoint Now, const base::Address &From,
+                          const wire::HolderQuery &Query, PacketActions &Out) {
+  wire::HolderAnswer Answer;
+  Answer.Name = this->Self.Name;
+  Answer.Run = this->Self.Run;
+  Answer.Flows = Query.Flows;
+  for (const FlowId &Id : Query.Flows) {
+    const HeldFlow *Flow = this->Flows.find(Id);
+    wire::Holding Holding = this->knowsAllFlows(Now) ? wire::Holding::Absent
+                                                     : wire::Holding::Unsure;
+    if (Flow) {
+      Holding = Flow->Stage == FlowStage::Opening ? wire::Holding::Unsure
+                                                  : wire::Holding::Held;
+    }
+    Answer.Holdings.push_back(Holding);
+  }
+  Out.Messages.push_back({From, std::move(Answer)});
+}
+
+// False while the upstream may hold flows from before this process started. A
+// flow that stays silent for longer than the idle timeout may be dropped, so
+// after that time all that is open has shown itself.
+bool PacketAgent::knowsAllFlows(base::TimePoint Now) const {
+  return this->SawUpstreamStart || Now - this->StartedAt > this->idleLife();
+}
+
+base::Duration PacketAgent::idleLife() const {
+  const auto &Routes = this->Operators->Routes;
+  return Routes && Routes->IdleTimeout > base::Duration(0) ? Routes->IdleTimeout
+                                                           : DefaultIdleLife;
+}
+
+wire::AgentStatus PacketAgent::status(base::TimePoint Now) {
+  admission::OpeningContext Call = this->contextOf(Now);
+  wire::AgentStatus Status;
+  Status.Name = this->Self.Name;
+  Status.Run = this->Self.Run;
+  Status.DataCentre = this->Self.DataCentre;
+  Status.Data = this->Self.Data;
+  Status.Working = this->Flows.working();
+  Status.Flows = static_cast<uint32_t>(this->Flows.size());
+  Status.KnowsAllFlows = this->knowsAllFlows(Now);
+  Status.News = {Call.Operators.Changed, this->Self.Pages};
+  if (const auto &Report = this->Upstream.present()) {
+    Status.Service = Report->Service;
+    Status.Slots = std::max<uint32_t>(1, Report->Slots);
+  }
+  switch (this->Gate.condition(Call)) {
+  case HopTag::None:
+    Status.Condition = wire::AgentCondition::InService;
+    Status.Budget = this->Gate.budget(Call);
+    break;
+  case HopTag::Draining:
+    Status.Condition = wire::AgentCondition::Draining;
+    break;
+  case HopTag::Evacuated:
+    Status.Condition = wire::AgentCondition::Evacuated;
+    break;
+  default:
+    Status.Condition = wire::AgentCondition::NoUpstream;
+  }
+  if (this->IsStopping) {
+    Status.Condition = wire::AgentCondition::Stopping;
+  }
+  return Status;
+}
+
+void PacketAgent::publishOpened(base::TimePoint Now, base::Duration MinAge) {
+  for (auto &[Id, Flow] : this->Flows.all()) {
+    bool IsDue = Flow.Stage == FlowStage::Open && !Flow.IsPublished &&
+                 Now - Flow.OpenedAt >= MinAge;
+    if (IsDue) {
+      Flow.IsPublished = true;
+      this->Opened.push_back(Id);
+    }
+  }
+}
+
+// Tells every balancer; long lists of flows are cut into several messages.
+void PacketAgent::tellAll(base::TimePoint Now, PacketActions &Out) {
+  wire::AgentStatus Status = this->status(Now);
+  this->ToldCondition = Status.Condition;
+  this->NextStatus = Now + StatusInterval;
+  do {
+    auto move = [](std::vector<FlowId> &From, std::vector<FlowId> &To) {
+      size_t Count = std::min(From.size(), wire::MaxFlowsPerMessage / 2);
+      To.assign(From.end() - static_cast<std::ptrdiff_t>(Count), From.end());
+      From.resize(From.size() - Count);
+    };
+    move(this->Opened, Status.Opened);
+    move(this->Ended, Status.Ended);
+    for (const auto &[Address, Known] : this->Balancers) {
+      Out.Messages.push_back({Address, Status});
+    }
+  } while (!this->Opened.empty() || !this->Ended.empty());
+}
+
+void PacketAgent::onStop(base::TimePoint Now, PacketActions &Out) {
+  this->IsStopping = true;
+  this->publishOpened(Now, base::Duration(0));
+  this->tellAll(Now, Out);
+}
+
+void PacketAgent::onTick(base::TimePoint Now, PacketActions &Out) {
+  if (this->LeftAt && Now - *this->LeftAt > LeaveDelay) {
+    this->resetFlowsBefore(Now, *this->LeftAt, "its upstream has left", Out);
+    this->LeftAt.reset();
+  }
+  if (Now < this->NextStatus) {
+    return;
+  }
+  std::erase_if(this->Balancers, [&](const auto &Known) {
+    return Now - Known.second.HeardAt > BalancerLife;
+  });
+  // Twice the idle timeout, since the upstream's own count may start later.
+  this->Flows.expire(Now, 2 * this->idleLife(),
+                     [&](const FlowId &Id, const HeldFlow &Flow) {
+                       if (Flow.IsPublished) {
+                         this->Ended.push_back(Id);
+                       }
+                     });
+  this->publishOpened(Now, PublishAge);
+  this->tellAll(Now, Out);
+}
+
+} // namespace bilberry::agent
--- a/bilberry/base/clock.h
+++ b/bilberry/base/clock.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <ctime>
 #include <mutex>
 
 namespace bilberry::base {
@@ -66,7 +67,30 @@
   TimePoint Current;
 };
 
-static_assert(Clock<SteadyClock> && Clock<PausedClock>);
+/// As SteadyClock, but counts the time for which the machine was suspended, so
+/// that what a process knows is as old after it as the world says.
+class BootClock {
+public:
+  BootClock()
+      : Start(std::chrono::time_point_cast<Duration>(
+            std::chrono::system_clock::now())),
+        Origin(sinceBoot()) {}
+
+  /// The time now. Safe to call from any thread.
+  TimePoint now() const { return this->Start + (sinceBoot() - this->Origin); }
+
+private:
+  static Duration sinceBoot() {
+    timespec Value = {};
+    clock_gettime(CLOCK_BOOTTIME, &Value);
+    return std::chrono::seconds(Value.tv_sec) + Duration(Value.tv_nsec);
+  }
+
+  TimePoint Start;
+  Duration Origin;
+};
+
+static_assert(Clock<SteadyClock> && Clock<PausedClock> && Clock<BootClock>);
 
 } // namespace bilberry::base
 
--- a/bilberry/board/local_member.h
+++ b/bilberry/board/local_member.h
@@ -35,6 +35,11 @@
       this->Value.State = To;
     }
   }
+  /// Sets the incarnation, where the one in use turns out not to be newest.
+  void setRun(base::Incarnation Run) {
+    std::lock_guard Lock(this->Mutex);
+    this->Value.Run = Run;
+  }
   /// Sets the revision of the targets that this process has applied.
   void setApplied(base::Revision Revision) {
     std::lock_guard Lock(this->Mutex);
--- a/bilberry/log/log.cc
+++ b/bilberry/log/log.cc
@@ -42,8 +42,12 @@
     Chosen = std::make_shared<log4cxx::PatternLayout>(Pattern);
   }
   auto Console = std::make_shared<log4cxx::ConsoleAppender>(
-      Chosen, log4cxx::ConsoleAppender::getSystemErr());
+      Chosen, log4cxx::ConsoleAppender::getSystemOut());
   log4cxx::BasicConfigurator::configure(Console);
+  setLevel(Lowest);
+}
+
+void setLevel(Level Lowest) {
   log4cxx::Logger::getRootLogger()->setLevel(log4cxxLevel(Lowest));
 }
 
@@ -69,6 +73,20 @@
   info(Line);
 }
 
+void flow(const packet::FlowDecision &Decision) {
+  if (!logger()->isInfoEnabled()) {
+    return;
+  }
+  std::string Line = "decision=" + std::string(Decision.What);
+  Line += " flow=" + packet::flowIdText(Decision.Flow);
+  if (Decision.To.Port != 0) {
+    Line += " to=" + base::addressText(Decision.To);
+  }
+  Line += " version=" + std::to_string(Decision.RouteVersion);
+  Line += " reason=\"" + std::string(Decision.Reason) + "\"";
+  info(Line);
+}
+
 void route(std::string_view Subject, const routing::Route &Route) {
   if (!logger()->isInfoEnabled()) {
     return;
--- a/bilberry/members/member_watcher.h
+++ b/bilberry/members/member_watcher.h
@@ -18,8 +18,10 @@
 public:
   /// Precondition: all three outlive the watcher.
   MemberWatcher(S &Source, const C &Time, MemberTable &Table,
-                base::Duration RereadInterval = store::DefaultRereadInterval)
-      : Time(Time), Announcements(Source, store::MembersPrefix, RereadInterval),
+                base::Duration RereadInterval = store::DefaultRereadInterval,
+                base::Duration LongestDelay = store::MaxBackoff)
+      : Time(Time), Announcements(Source, store::MembersPrefix, RereadInterval,
+                                  LongestDelay),
         Tracker(Table) {}
 
   /// Blocks until Stop is requested. Not to be called by two threads.
--- a/bilberry/node/status_server.cc
+++ b/bilberry/node/status_server.cc
@@ -15,21 +15,23 @@
   std::thread Thread;
 };
 
-static void servePage(httplib::Server &Server, const char *Path,
-                      PageBuilder Build, const char *ContentType) {
-  Server.Get(Path, [Build = std::move(Build), ContentType](
-                       const httplib::Request &, httplib::Response &Answer) {
-    Answer.set_content(Build(), ContentType);
-  });
-}
-
 StatusServer::StatusServer(PageBuilder Metrics, PageBuilder Status)
+    : StatusServer(std::vector<Page>{
+          {"/metrics", "text/plain; version=0.0.4", std::move(Metrics)},
+          {"/status", "application/json", std::move(Status)}}) {}
+
+StatusServer::StatusServer(std::vector<Page> Pages)
     : Inner(std::make_unique<Impl>()) {
   httplib::Server &Server = this->Inner->Server;
   Server.new_task_queue = [] { return new httplib::ThreadPool(ServerThreads); };
-  servePage(Server, "/metrics", std::move(Metrics),
-            "text/plain; version=0.0.4");
-  servePage(Server, "/status", std::move(Status), "application/json");
+  for (Page &Served : Pages) {
+    Server.Get(
+        Served.Path,
+        [Build = std::move(Served.Build), Type = std::move(Served.ContentType)](
+            const httplib::Request &, httplib::Response &Answer) {
+          Answer.set_content(Build(), Type.c_str());
+        });
+  }
 }
 
 StatusServer::~StatusServer() {
--- a/bilberry/node/status_server.h
+++ b/bilberry/node/status_server.h
@@ -9,16 +9,25 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace bilberry::node {
 
 /// Builds a page. Called in the server's threads, so it must be thread-safe.
 using PageBuilder = std::function<std::string()>;
 
+struct Page {
+  std::string Path;
+  std::string ContentType;
+  PageBuilder Build;
+};
+
 /// Not thread-safe itself: built, started and destroyed by one thread.
 class StatusServer {
 public:
   StatusServer(PageBuilder Metrics, PageBuilder Status);
+  /// Serves Pages, each with its content type by path.
+  explicit StatusServer(std::vector<Page> Pages);
   /// Stops serving.
   ~StatusServer();
   StatusServer(const StatusServer &) = delete;
--- /dev/null
+++ b/bilberry/routing/packet_router.cc
@@ -0,0 +1,506 @@
+#include "bilberry/routing/packet_router.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::routing {
+
+using members::AgentIndex;
+using members::AgentView;
+using members::NoAgent;
+using packet::FlowId;
+using packet::HopTag;
+using packet::Packet;
+using packet::PacketActions;
+
+// Old flows and placements are looked for this often.
+static constexpr base::Duration ExpiryInterval = std::chrono::seconds(1);
+
+PacketRouter::PacketRouter(BalancerIdentity Self,
+                           const targets::OperatorBoard &Board)
+    : Self(std::move(Self)), Board(Board), Operators(Board.current()) {}
+
+packet::HopMark PacketRouter::mark(HopTag Tag) const {
+  return {static_cast<uint32_t>(this->routeVersion()), Tag};
+}
+
+uint64_t PacketRouter::routeVersion() const {
+  return this->Operators->Routes ? this->Operators->Routes->Version : 0;
+}
+
+bool PacketRouter::isReady() const {
+  if (!this->Board.current()->Routes) {
+    return false;
+  }
+  for (size_t I = 0; I < this->Agents.size(); ++I) {
+    if (this->Agents.at(static_cast<AgentIndex>(I)).isHeard()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void PacketRouter::remember(base::TimePoint Now, const FlowId &Id,
+                            AgentIndex Holder, bool IsConfirmed) {
+  if (this->Flows.size() >= this->Self.MaxFlows && !this->Flows.contains(Id)) {
+    return;
+  }
+  KnownFlow &Flow = this->Flows[Id];
+  bool WasConfirmed = Flow.Holder == Holder && Flow.IsConfirmed;
+  if (Flow.Holder != Holder) {
+    Flow = KnownFlow();
+    Flow.PlacedAt = Now;
+  }
+  Flow.Holder = Holder;
+  Flow.IsConfirmed = IsConfirmed || WasConfirmed;
+  Flow.LastPacket = Now;
+}
+
+// Callers' packets.
+
+void PacketRouter::onCallerPacket(base::TimePoint Now, const Packet &Packet,
+                                  PacketActions &Out) {
+  if (Packet.opensFlow()) {
+    this->onOpening(Now, Packet, Out);
+    return;
+  }
+  auto It = this->Flows.find(Packet.callersFlow());
+  if (It == this->Flows.end()) {
+    this->search(Now, Packet, Out);
+    return;
+  }
+  const AgentView &Holder = this->Agents.at(It->second.Holder);
+  if (Holder.IsGone) {
+    Out.Resets.push_back({It->first, Packet.Acknowledged});
+    Out.Decisions.push_back({"flow-reset", It->first, Holder.Data,
+                             "its agent is gone", this->routeVersion()});
+    ++this->Counts.Resets;
+    this->Flows.erase(It);
+    return;
+  }
+  this->forward(Now, Packet, It->second, Out);
+}
+
+void PacketRouter::forward(base::TimePoint Now, const Packet &Packet,
+                           KnownFlow &Flow, PacketActions &Out) {
+  Flow.LastPacket = Now;
+  Flow.IsOpening = false;
+  Flow.IsClosing = Flow.IsClosing || Packet.IsFin || Packet.IsReset;
+  ++this->Counts.Forwarded;
+  HopTag Tag = Flow.IsConfirmed ? HopTag::Holder : HopTag::Probe;
+  Out.Packets.push_back({packet::Receiver::Peer,
+                         this->Agents.at(Flow.Holder).Data, Packet.Bytes,
+                         this->mark(Tag), false});
+}
+
+void PacketRouter::onOpening(base::TimePoint Now, const Packet &Packet,
+                             PacketActions &Out) {
+  FlowId Id = Packet.callersFlow();
+  auto Known = this->Flows.find(Id);
+  if (Known != this->Flows.end()) {
+    KnownFlow &Flow = Known->second;
+    bool IsCopy = Now - Flow.PlacedAt < PlacementLife;
+    if (IsCopy && !Flow.IsOpening) {
+      ++this->Counts.Dropped;
+      return;
+    }
+    if (IsCopy && !this->Agents.at(Flow.Holder).IsGone) {
+      Out.Packets.push_back({packet::Receiver::Peer,
+                             this->Agents.at(Flow.Holder).Data, Packet.Bytes,
+                             this->mark(HopTag::Opening), false});
+      return;
+    }
+    this->Flows.erase(Known);
+  }
+  this->place(Now, Packet, Out);
+}
+
+// Offers a new flow to the best upstream that hasn't refused it.
+void PacketRouter::place(base::TimePoint Now, const Packet &Packet,
+                         PacketActions &Out) {
+  this->Operators = this->Board.current();
+  FlowId Id = Packet.callersFlow();
+  const targets::Route *Route =
+      this->Operators->Routes
+          ? this->Operators->Routes->find(Packet.Destination)
+          : nullptr;
+  if (!Route) {
+    ++this->Counts.NoRoute;
+    if (this->Operators->Routes) {
+      this->refuse(Now, Packet, "no such route", Out);
+    }
+    return;
+  }
+  auto Begun = this->Placements.find(Id);
+  static const TriedAgents None;
+  const TriedAgents &Tried =
+      Begun == this->Placements.end() ? None : Begun->second.Tried;
+  uint64_t Hash = packet::flowHash(Id);
+  AgentIndex Chosen =
+      Tried.size() >= MaxOffers
+          ? NoAgent
+          : chooseUpstream(this->Agents, {Now, Route->serviceOf(Hash),
+                                          this->Self.DataCentre, Hash, Tried});
+  if (Chosen == NoAgent) {
+    this->refuse(Now, Packet, "no upstream takes it", Out);
+    return;
+  }
+  AgentView &View = this->Agents.at(Chosen);
+  ++View.SentSince;
+  ++this->Counts.Placed;
+  this->remember(Now, Id, Chosen, false);
+  if (auto It = this->Flows.find(Id); It != this->Flows.end()) {
+    It->second.IsOpening = true;
+  }
+  Out.Decisions.push_back(
+      {"flow-placed", Id, View.Data,
+       View.Status.DataCentre == this->Self.DataCentre ? "near" : "elsewhere",
+       this->routeVersion()});
+  Out.Packets.push_back({packet::Receiver::Peer, View.Data, Packet.Bytes,
+                         this->mark(HopTag::Opening), false});
+}
+
+void PacketRouter::refuse(base::TimePoint, const Packet &Packet,
+                          std::string_view Reason, PacketActions &Out) {
+  FlowId Id = Packet.callersFlow();
+  this->Placements.erase(Id);
+  this->Flows.erase(Id);
+  Out.Resets.push_back({Id, Packet.Acknowledged});
+  Out.Decisions.push_back(
+      {"flow-refused", Id, {}, Reason, this->routeVersion()});
+  ++this->Counts.Refused;
+}
+
+void PacketRouter::onReturned(base::TimePoint Now, const base::Address &From,
+                              const Packet &Packet, PacketActions &Out) {
+  ++this->Counts.Returned;
+  FlowId Id = Packet.callersFlow();
+  AgentIndex Agent = this->Agents.byData(From);
+  auto Known = this->Flows.find(Id);
+  bool IsFromHolder =
+      Known != this->Flows.end() && Known->second.Holder == Agent;
+  if (IsFromHolder) {
+    this->Flows.erase(Known);
+  }
+  if (!Packet.opensFlow()) {
+    if (auto It = this->Searches.find(Id); It != this->Searches.end()) {
+      It->second.WrongProbes.push_back(Now);
+    }
+    this->search(Now, Packet, Out);
+    return;
+  }
+  Placement &Entry = this->Placements[Id];
+  if (Entry.Tried.empty()) {
+    Entry.StartedAt = Now;
+  }
+  if (Agent != NoAgent) {
+    Entry.Tried.push_back(Agent);
+    if (Packet.Mark.Tag == HopTag::Shed || Packet.Mark.Tag == HopTag::Full) {
+      // Counts as load until the next status.
+      this->Agents.at(Agent).SentSince += this->Agents.at(Agent).Status.Slots;
+    }
+  }
+  Out.Decisions.push_back({"flow-returned", Id, From,
+                           packet::hopTagText(Packet.Mark.Tag),
+                           Packet.Mark.RouteVersion});
+  // Another copy may have been placed meanwhile.
+  if (!IsFromHolder && this->Flows.contains(Id)) {
+    ++this->Counts.Dropped;
+    return;
+  }
+  this->place(Now, Packet, Out);
+}
+
+// Looking for the holder of a flow.
+
+void PacketRouter::keepPacket(Search &Entry, const Packet &Packet) {
+  bool HasRoom = Entry.Packets.size() < MaxWaitingPackets &&
+                 this->WaitingBytes + Packet.Bytes.size() <= MaxWaitingBytes;
+  if (!HasRoom) {
+    ++this->Counts.Dropped;
+    return;
+  }
+  this->WaitingBytes += Packet.Bytes.size();
+  Entry.Packets.emplace_back(Packet.Bytes.data(), Packet.Bytes.size());
+  Entry.LastAcknowledged = Packet.Acknowledged;
+}
+
+void PacketRouter::dropPackets(Search &Entry) {
+  for (const std::string &Bytes : Entry.Packets) {
+    this->WaitingBytes -= Bytes.size();
+    ++this->Counts.Dropped;
+  }
+  Entry.Packets.clear();
+}
+
+void PacketRouter::search(base::TimePoint Now, const Packet &Packet,
+                          PacketActions &Out) {
+  FlowId Id = Packet.callersFlow();
+  // The end of a flow that nobody knows any more needs no answer.
+  if (Packet.IsReset) {
+    ++this->Counts.Dropped;
+    return;
+  }
+  bool IsNew = !this->Searches.contains(Id);
+  Search &Entry = this->Searches[Id];
+  if (IsNew) {
+    Entry.FirstAskedAt = Now;
+    ++this->Counts.Searches;
+  }
+  Entry.LastPacket = Now;
+  this->keepPacket(Entry, Packet);
+  if (Entry.IsAsking) {
+    return;
+  }
+  // Upstreams that may hold it are left from the last round of questions.
+  if (!Entry.Unsure.empty() && Now - Entry.AskedAt < SearchLife) {
+    this->probeNext(Now, Id, Entry, Out);
+    return;
+  }
+  Entry.IsAsking = true;
+  Entry.AskedAt = Now;
+  Entry.Waiting.clear();
+  Entry.Unsure.clear();
+  for (size_t I = 0; I < this->Agents.size(); ++I) {
+    auto Index = static_cast<AgentIndex>(I);
+    if (!this->Agents.at(Index).IsGone) {
+      Entry.Waiting.push_back(Index);
+    }
+  }
+  this->ToAsk.push_back(Id);
+}
+
+void PacketRouter::flush(base::TimePoint, PacketActions &Out) {
+  while (!this->ToAsk.empty()) {
+    size_t Count = std::min(this->ToAsk.size(), wire::MaxFlowsPerMessage);
+    wire::HolderQuery Query;
+    Query.Flows.assign(this->ToAsk.end() - static_cast<std::ptrdiff_t>(Count),
+                       this->ToAsk.end());
+    this->ToAsk.resize(this->ToAsk.size() - Count);
+    for (size_t I = 0; I < this->Agents.size(); ++I) {
+      const AgentView &View = this->Agents.at(static_cast<AgentIndex>(I));
+      if (!View.IsGone) {
+        Out.Messages.push_back({View.Control, Query});
+      }
+    }
+  }
+}
+
+void PacketRouter::onAnswer(base::TimePoint Now, const base::Address &,
+                            const wire::HolderAnswer &Answer,
+                            PacketActions &Out) {
+  AgentIndex Agent = this->Agents.byName(Answer.Name);
+  if (Agent == NoAgent) {
+    return;
+  }
+  for (size_t I = 0; I < Answer.Flows.size(); ++I) {
+    auto It = this->Searches.find(Answer.Flows[I]);
+    if (It == this->Searches.end()) {
+      continue;
+    }
+    Search &Entry = It->second;
+    if (Answer.Holdings[I] == wire::Holding::Held) {
+      this->found(Now, It->first, Entry, Agent, Out);
+      continue;
+    }
+    if (std::erase(Entry.Waiting, Agent) == 0 || !Entry.IsAsking) {
+      continue;
+    }
+    if (Answer.Holdings[I] == wire::Holding::Unsure) {
+      Entry.Unsure.push_back(Agent);
+    }
+    if (Entry.Waiting.empty()) {
+      this->conclude(Now, It->first, Entry, true, Out);
+    }
+  }
+}
+
+// All have answered, or the others' time is up.
+void PacketRouter::conclude(base::TimePoint Now, const FlowId &Id,
+                            Search &Entry, bool AllAnswered,
+                            PacketActions &Out) {
+  Entry.IsAsking = false;
+  if (!Entry.Unsure.empty()) {
+    this->probeNext(Now, Id, Entry, Out);
+    return;
+  }
+  bool IsUnknown = AllAnswered && this->StoreAnswers &&
+                   Now - Entry.FirstAskedAt >= UnknownDelay;
+  if (IsUnknown) {
+    Out.Resets.push_back({Id, Entry.LastAcknowledged});
+    Out.Decisions.push_back(
+        {"flow-reset", Id, {}, "no agent holds it", this->routeVersion()});
+    ++this->Counts.Resets;
+  }
+  ++this->Counts.Unknown;
+  this->dropPackets(Entry);
+}
+
+// Gives one waiting packet to an upstream that may hold the flow. False where
+// none is left, or too many were wrong lately.
+bool PacketRouter::probeNext(base::TimePoint Now, const FlowId &Id,
+                             Search &Entry, PacketActions &Out) {
+  std::erase_if(Entry.WrongProbes,
+                [&](base::TimePoint At) { return Now - At > ProbeWindow; });
+  if (Entry.Unsure.empty() || Entry.WrongProbes.size() >= MaxWrongProbes ||
+      Entry.Packets.empty()) {
+    this->dropPackets(Entry);
+    return false;
+  }
+  AgentIndex Next = Entry.Unsure.back();
+  Entry.Unsure.pop_back();
+  this->remember(Now, Id, Next, false);
+  ++this->Counts.Probes;
+  Out.Decisions.push_back({"flow-probed", Id, this->Agents.at(Next).Data,
+                           "may be there", this->routeVersion()});
+  // One packet is the question; the rest is sent again by the caller.
+  std::string First = std::move(Entry.Packets.front());
+  this->WaitingBytes -= First.size();
+  Entry.Packets.erase(Entry.Packets.begin());
+  this->dropPackets(Entry);
+  Out.Packets.push_back({packet::Receiver::Peer, this->Agents.at(Next).Data,
+                         Out.keep(std::move(First)), this->mark(HopTag::Probe),
+                         false});
+  return true;
+}
+
+void PacketRouter::found(base::TimePoint Now, const FlowId &Id, Search &Entry,
+                         AgentIndex Holder, PacketActions &Out) {
+  this->remember(Now, Id, Holder, true);
+  ++this->Counts.Found;
+  Out.Decisions.push_back({"flow-found", Id, this->Agents.at(Holder).Data,
+                           "its agent holds it", this->routeVersion()});
+  this->release(Id, Entry, Holder, HopTag::Holder, Out);
+  this->Searches.erase(Id);
+}
+
+void PacketRouter::release(const FlowId &, Search &Entry, AgentIndex Holder,
+                           HopTag Tag, PacketActions &Out) {
+  for (std::string &Bytes : Entry.Packets) {
+    this->WaitingBytes -= Bytes.size();
+    Out.Packets.push_back({packet::Receiver::Peer, this->Agents.at(Holder).Data,
+                           Out.keep(std::move(Bytes)), this->mark(Tag), false});
+  }
+  Entry.Packets.clear();
+}
+
+// Agents.
+
+void PacketRouter::takeAnnounced(base::TimePoint Now,
+                                 const std::vector<members::Member> &Members) {
+  this->Agents.takeAnnounced(Now, Members);
+}
+
+void PacketRouter::onMessage(base::TimePoint Now, const base::Address &From,
+                             const wire::RelayMessage &Message,
+                             PacketActions &Out) {
+  if (const auto *Status = std::get_if<wire::AgentStatus>(&Message)) {
+    this->onStatus(Now, From, *Status, Out);
+  } else if (const auto *Answer = std::get_if<wire::HolderAnswer>(&Message)) {
+    this->onAnswer(Now, From, *Answer, Out);
+  }
+}
+
+void PacketRouter::onStatus(base::TimePoint Now, const base::Address &From,
+                            const wire::AgentStatus &Status,
+                            PacketActions &Out) {
+  bool IsNewRun = false;
+  AgentIndex Index = this->Agents.takeStatus(Now, From, Status, IsNewRun);
+  if (Index == NoAgent) {
+    return;
+  }
+  if (Status.News.Changed > this->NewsHeard.Changed) {
+    this->NewsHeard = Status.News;
+  }
+  if (IsNewRun) {
+    this->recall(From, Index, Out);
+  }
+  for (const FlowId &Id : Status.Opened) {
+    this->remember(Now, Id, Index, true);
+    if (auto It = this->Searches.find(Id); It != this->Searches.end()) {
+      this->found(Now, Id, It->second, Index, Out);
+    }
+  }
+  for (const FlowId &Id : Status.Ended) {
+    auto It = this->Flows.find(Id);
+    if (It != this->Flows.end() && It->second.Holder == Index) {
+      this->Flows.erase(It);
+    }
+  }
+}
+
+// Tells a restarted agent which flows it was known to hold.
+void PacketRouter::recall(const base::Address &To, AgentIndex Index,
+                          PacketActions &Out) {
+  wire::FlowsRecalled Recalled;
+  Recalled.AgentRun = this->Agents.at(Index).Status.Run;
+  for (const auto &[Id, Flow] : this->Flows) {
+    if (Flow.Holder != Index || !Flow.IsConfirmed || Flow.IsClosing) {
+      continue;
+    }
+    Recalled.Flows.push_back(Id);
+    if (Recalled.Flows.size() == wire::MaxFlowsPerMessage) {
+      Out.Messages.push_back({To, Recalled});
+      Recalled.Flows.clear();
+    }
+  }
+  if (!Recalled.Flows.empty()) {
+    Out.Messages.push_back({To, std::move(Recalled)});
+  }
+}
+
+// Time.
+
+void PacketRouter::expireFlows(base::TimePoint Now) {
+  const auto &Routes = this->Operators->Routes;
+  base::Duration Life = Routes && Routes->IdleTimeout > base::Duration(0)
+                            ? 2 * Routes->IdleTimeout
+                            : DefaultFlowLife;
+  std::erase_if(this->Flows, [&](const auto &Known) {
+    const KnownFlow &Flow = Known.second;
+    bool IsShort = Flow.IsClosing || Flow.IsOpening;
+    return Now - Flow.LastPacket > (IsShort ? ClosingLife : Life);
+  });
+  std::erase_if(this->Placements, [&](const auto &Known) {
+    return Now - Known.second.StartedAt > PlacementLife;
+  });
+}
+
+void PacketRouter::expireSearches(base::TimePoint Now, PacketActions &Out) {
+  for (auto It = this->Searches.begin(); It != this->Searches.end();) {
+    Search &Entry = It->second;
+    if (Entry.IsAsking && Now - Entry.AskedAt > AnswerTimeout) {
+      this->conclude(Now, It->first, Entry, false, Out);
+    }
+    if (Now - Entry.LastPacket > SearchLife) {
+      this->dropPackets(Entry);
+      It = this->Searches.erase(It);
+    } else {
+      ++It;
+    }
+  }
+}
+
+void PacketRouter::onTick(base::TimePoint Now, bool StoreAnswers,
+                          PacketActions &Out) {
+  this->StoreAnswers = StoreAnswers;
+  this->Operators = this->Board.current();
+  this->Agents.tick(Now, StoreAnswers);
+  this->expireSearches(Now, Out);
+  wire::BalancerHello Hello{this->Self.Name,
+                            this->Self.Run,
+                            {this->Operators->Changed, this->Self.Pages}};
+  for (size_t I = 0; I < this->Agents.size(); ++I) {
+    AgentView &View = this->Agents.at(static_cast<AgentIndex>(I));
+    if (!View.IsGone && Now - View.HelloAt >= HelloInterval) {
+      View.HelloAt = Now;
+      Out.Messages.push_back({View.Control, Hello});
+    }
+  }
+  if (Now >= this->NextExpiry) {
+    this->NextExpiry = Now + ExpiryInterval;
+    this->expireFlows(Now);
+  }
+}
+
+} // namespace bilberry::routing
--- /dev/null
+++ b/bilberry/routing/packet_router.h
@@ -0,0 +1,197 @@
+// A balancer that relays callers' packets to agents. A plain object: typed
+// events and a time point in, actions out.
+//
+// An opening packet goes to the chosen upstream's agent, and on to the next
+// where that one returns it, until one takes it or none is left; then its
+// caller is told at once by a reset. Any other packet goes to the agent that
+// holds its flow: known from having placed it, from the agents' statuses, or
+// by asking all agents, while the packet waits. Where an agent was restarted
+// beside a living upstream nobody may know; then the packet itself is the
+// question, to one upstream after the other and never to more than two in the
+// window in which a third would be one too many.
+//
+// A flow is reset only where its upstream's agent is gone, or where every
+// agent that the store knows has said twice, a while apart, that it isn't
+// there. Silence costs its caller a retransmission; a wrong reset costs the
+// flow.
+
+#ifndef BILBERRY_ROUTING_PACKET_ROUTER_H
+#define BILBERRY_ROUTING_PACKET_ROUTER_H
+
+#include "bilberry/members/agent_views.h"
+#include "bilberry/packet/packet_actions.h"
+#include "bilberry/routing/upstream_choice.h"
+#include "bilberry/targets/operator_board.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace bilberry::routing {
+
+/// How long answers are waited for: the way between data centres and back, and
+/// a busy agent's delay.
+inline constexpr base::Duration AnswerTimeout = std::chrono::milliseconds(150);
+/// Packets of one flow that wait for an answer.
+inline constexpr size_t MaxWaitingPackets = 6;
+/// Bytes of all packets that wait.
+inline constexpr size_t MaxWaitingBytes = size_t{2} << 20U;
+/// Wrong upstreams that may be given packets of one flow within ProbeWindow.
+inline constexpr uint32_t MaxWrongProbes = 2;
+/// A third wrong upstream within two seconds would be one too many.
+inline constexpr base::Duration ProbeWindow = std::chrono::milliseconds(2300);
+/// A flow that nobody holds is reset after this time of being asked for: by
+/// then an agent that was just announced has been heard of.
+inline constexpr base::Duration UnknownDelay = std::chrono::seconds(2);
+/// How long a search is remembered after its last packet.
+inline constexpr base::Duration SearchLife = std::chrono::seconds(4);
+/// Callers repeat an opening packet within this time.
+inline constexpr base::Duration PlacementLife = std::chrono::milliseconds(1500);
+/// How often an agent is greeted.
+inline constexpr base::Duration HelloInterval = std::chrono::seconds(1);
+/// How long a flow is remembered without a packet, where the routes don't say.
+inline constexpr base::Duration DefaultFlowLife = std::chrono::seconds(60);
+/// How long before a closing flow is forgotten.
+inline constexpr base::Duration ClosingLife = std::chrono::seconds(4);
+/// Agents that an opening packet is offered to at most.
+inline constexpr size_t MaxOffers = 6;
+
+/// Who this balancer is.
+struct BalancerIdentity {
+  base::MemberName Name;
+  base::Incarnation Run = 0;
+  base::DataCentreName DataCentre;
+  /// HTTP: where peers can fetch the operators' documents.
+  base::Address Pages;
+  /// Flows that the directory holds at most.
+  size_t MaxFlows = 300000;
+};
+
+/// What the metrics tell.
+struct PacketRouterCounts {
+  uint64_t Placed = 0;
+  uint64_t Forwarded = 0;
+  uint64_t Returned = 0;
+  uint64_t Refused = 0;
+  uint64_t NoRoute = 0;
+  uint64_t Searches = 0;
+  uint64_t Found = 0;
+  uint64_t Unknown = 0;
+  uint64_t Resets = 0;
+  uint64_t Dropped = 0;
+  uint64_t Probes = 0;
+};
+
+/// Not thread-safe: the process holds one lock around it.
+class PacketRouter {
+public:
+  /// The board must outlive the router.
+  PacketRouter(BalancerIdentity Self, const targets::OperatorBoard &Board);
+
+  /// A packet from a caller.
+  void onCallerPacket(base::TimePoint Now, const packet::Packet &Packet,
+                      packet::PacketActions &Out);
+  /// A packet that an agent gave back.
+  void onReturned(base::TimePoint Now, const base::Address &From,
+                  const packet::Packet &Packet, packet::PacketActions &Out);
+  /// A message from an agent; others are ignored.
+  void onMessage(base::TimePoint Now, const base::Address &From,
+                 const wire::RelayMessage &Message, packet::PacketActions &Out);
+  /// The announcements in the store, as last read.
+  void takeAnnounced(base::TimePoint Now,
+                     const std::vector<members::Member> &Members);
+  /// Call at the end of each batch: asks for the flows that it missed.
+  void flush(base::TimePoint Now, packet::PacketActions &Out);
+  /// Call several times a second. StoreAnswers: whether the announcements are
+  /// up to date.
+  void onTick(base::TimePoint Now, bool StoreAnswers,
+              packet::PacketActions &Out);
+
+  /// True once it knows routes and has heard of an agent.
+  bool isReady() const;
+  const PacketRouterCounts &counts() const { return this->Counts; }
+  size_t flows() const { return this->Flows.size(); }
+  const members::AgentViews &agents() const { return this->Agents; }
+  const wire::NewsMark &newsHeard() const { return this->NewsHeard; }
+
+private:
+  struct KnownFlow {
+    members::AgentIndex Holder = members::NoAgent;
+    /// The agent itself has said that it holds the flow.
+    bool IsConfirmed = false;
+    /// No packet but the opening one has been seen.
+    bool IsOpening = false;
+    bool IsClosing = false;
+    base::TimePoint LastPacket;
+    base::TimePoint PlacedAt;
+  };
+  struct Placement {
+    TriedAgents Tried;
+    base::TimePoint StartedAt;
+  };
+  struct Search {
+    base::TimePoint FirstAskedAt;
+    base::TimePoint AskedAt;
+    base::TimePoint LastPacket;
+    bool IsAsking = false;
+    std::vector<members::AgentIndex> Waiting;
+    std::vector<members::AgentIndex> Unsure;
+    std::vector<std::string> Packets;
+    std::vector<base::TimePoint> WrongProbes;
+    uint32_t LastAcknowledged = 0;
+  };
+
+  void onOpening(base::TimePoint Now, const packet::Packet &Packet,
+                 packet::PacketActions &Out);
+  void place(base::TimePoint Now, const packet::Packet &Packet,
+             packet::PacketActions &Out);
+  void refuse(base::TimePoint Now, const packet::Packet &Packet,
+              std::string_view Reason, packet::PacketActions &Out);
+  void forward(base::TimePoint Now, const packet::Packet &Packet,
+               KnownFlow &Flow, packet::PacketActions &Out);
+  void search(base::TimePoint Now, const packet::Packet &Packet,
+              packet::PacketActions &Out);
+  void keepPacket(Search &Entry, const packet::Packet &Packet);
+  void dropPackets(Search &Entry);
+  void conclude(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
+                bool AllAnswered, packet::PacketActions &Out);
+  bool probeNext(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
+                 packet::PacketActions &Out);
+  void found(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
+             members::AgentIndex Holder, packet::PacketActions &Out);
+  void release(const packet::FlowId &Id, Search &Entry,
+               members::AgentIndex Holder, packet::HopTag Tag,
+               packet::PacketActions &Out);
+  void onStatus(base::TimePoint Now, const base::Address &From,
+                const wire::AgentStatus &Status, packet::PacketActions &Out);
+  void onAnswer(base::TimePoint Now, const base::Address &From,
+                const wire::HolderAnswer &Answer, packet::PacketActions &Out);
+  void recall(const base::Address &To, members::AgentIndex Index,
+              packet::PacketActions &Out);
+  void expireFlows(base::TimePoint Now);
+  void expireSearches(base::TimePoint Now, packet::PacketActions &Out);
+  packet::HopMark mark(packet::HopTag Tag) const;
+  uint64_t routeVersion() const;
+  void remember(base::TimePoint Now, const packet::FlowId &Id,
+                members::AgentIndex Holder, bool IsConfirmed);
+
+  BalancerIdentity Self;
+  const targets::OperatorBoard &Board;
+  std::shared_ptr<const targets::OperatorState> Operators;
+  members::AgentViews Agents;
+  std::unordered_map<packet::FlowId, KnownFlow> Flows;
+  std::unordered_map<packet::FlowId, Placement> Placements;
+  std::unordered_map<packet::FlowId, Search> Searches;
+  // Flows to ask for at the end of the batch.
+  std::vector<packet::FlowId> ToAsk;
+  size_t WaitingBytes = 0;
+  bool StoreAnswers = false;
+  base::TimePoint NextExpiry;
+  wire::NewsMark NewsHeard;
+  PacketRouterCounts Counts;
+};
+
+} // namespace bilberry::routing
+
+#endif
--- a/bilberry/runtime/udp_socket.cc
+++ b/bilberry/runtime/udp_socket.cc
@@ -1,7 +1,5 @@
 #include "bilberry/runtime/udp_socket.h"
 
-#include "bilberry/wire/codec.h"
-
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -22,11 +20,11 @@
   return Raw;
 }
 
-ReceiveBatch::ReceiveBatch()
+ReceiveBatch::ReceiveBatch(size_t BufferBytes)
     : Parts(BatchSize), Senders(BatchSize), Messages(BatchSize) {
   for (size_t I = 0; I < BatchSize; ++I) {
-    this->Buffers.push_back(std::make_unique<char[]>(wire::MaxDatagramBytes));
-    this->Parts[I] = {this->Buffers[I].get(), wire::MaxDatagramBytes};
+    this->Buffers.push_back(std::make_unique<char[]>(BufferBytes));
+    this->Parts[I] = {this->Buffers[I].get(), BufferBytes};
   }
 }
 
@@ -40,6 +38,22 @@
   this->Items.push_back({socketAddress(To), std::move(Header), Payload});
 }
 
+DatagramBatch::DatagramBatch() {
+  for (size_t I = 0; I < BatchSize; ++I) {
+    msghdr &Header = this->Messages[I].msg_hdr;
+    Header.msg_name = &this->Receivers[I];
+    Header.msg_namelen = sizeof(sockaddr_in);
+    Header.msg_iov = &this->Parts[I];
+    Header.msg_iovlen = 1;
+  }
+}
+
+void DatagramBatch::add(const base::Address &To, std::span<const char> Bytes) {
+  this->Receivers[this->Count] = socketAddress(To);
+  this->Parts[this->Count] = {const_cast<char *>(Bytes.data()), Bytes.size()};
+  ++this->Count;
+}
+
 base::Result<UdpSocket> UdpSocket::bind(const base::Address &At) {
   int Fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (Fd < 0) {
@@ -88,6 +102,23 @@
   Batch.Count = Taken > 0 ? static_cast<size_t>(Taken) : 0;
 }
 
+// Sends all; returns how many the kernel refused.
+static size_t sendMessages(int Fd, mmsghdr *Messages, size_t Count) {
+  size_t Sent = 0;
+  size_t Refused = 0;
+  while (Sent < Count) {
+    int Done = sendmmsg(Fd, Messages + Sent,
+                        static_cast<unsigned>(Count - Sent), MSG_DONTWAIT);
+    if (Done <= 0) {
+      // The first of the rest can't be sent; pass over just that one.
+      Done = 1;
+      ++Refused;
+    }
+    Sent += static_cast<size_t>(Done);
+  }
+  return Refused;
+}
+
 size_t UdpSocket::send(SendBatch &Batch) const {
   size_t Count = Batch.Items.size();
   std::vector<mmsghdr> Messages(Count);
@@ -104,22 +135,17 @@
     Header.msg_iov = Parts[I].data();
     Header.msg_iovlen = 2;
   }
-  size_t Sent = 0;
-  size_t Refused = 0;
-  while (Sent < Count) {
-    int Done = sendmmsg(this->Fd, Messages.data() + Sent,
-                        static_cast<unsigned>(Count - Sent), MSG_DONTWAIT);
-    if (Done <= 0) {
-      // The first of the rest can't be sent; pass over just that one.
-      Done = 1;
-      ++Refused;
-    }
-    Sent += static_cast<size_t>(Done);
-  }
+  size_t Refused = sendMessages(this->Fd, Messages.data(), Count);
   Batch.Items.clear();
   return Refused;
 }
 
+size_t UdpSocket::send(DatagramBatch &Batch) const {
+  size_t Refused = sendMessages(this->Fd, Batch.Messages.data(), Batch.Count);
+  Batch.Count = 0;
+  return Refused;
+}
+
 bool UdpSocket::sendOne(const base::Address &To, std::string_view Header,
                         std::string_view Payload) const {
   sockaddr_in Raw = socketAddress(To);
--- a/bilberry/runtime/udp_socket.h
+++ b/bilberry/runtime/udp_socket.h
@@ -7,9 +7,11 @@
 #include "bilberry/base/address.h"
 #include "bilberry/base/error.h"
 
+#include <array>
 #include <cstddef>
 #include <memory>
 #include <netinet/in.h>
+#include <span>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
@@ -19,11 +21,14 @@
 
 /// Datagrams that one batch takes.
 inline constexpr size_t BatchSize = 32;
+/// The largest payload of a UDP datagram over IPv4.
+inline constexpr size_t MaxReceivedBytes = 65507;
 
 /// Room for one batch. Reused between calls; one a fiber.
 class ReceiveBatch {
 public:
-  ReceiveBatch();
+  /// Room for datagrams of at most BufferBytes; longer ones are cut.
+  explicit ReceiveBatch(size_t BufferBytes = MaxReceivedBytes);
 
   /// Datagrams that the last receive() took.
   size_t size() const { return this->Count; }
@@ -31,6 +36,10 @@
   std::string_view bytes(size_t N) const {
     return {this->Buffers[N].get(), this->Messages[N].msg_len};
   }
+  /// The same, for changes in place.
+  std::span<char> buffer(size_t N) {
+    return {this->Buffers[N].get(), this->Messages[N].msg_len};
+  }
   /// Where it came from.
   base::Address sender(size_t N) const;
 
@@ -64,6 +73,27 @@
   std::vector<Item> Items;
 };
 
+/// Datagrams of one part that wait to be sent together, without allocation.
+/// One a thread.
+class DatagramBatch {
+public:
+  DatagramBatch();
+
+  /// Adds a datagram; Bytes must stay valid until it is sent. Precondition:
+  /// the batch is not full.
+  void add(const base::Address &To, std::span<const char> Bytes);
+  bool isFull() const { return this->Count == BatchSize; }
+  bool empty() const { return this->Count == 0; }
+
+private:
+  friend class UdpSocket;
+
+  size_t Count = 0;
+  std::array<sockaddr_in, BatchSize> Receivers{};
+  std::array<iovec, BatchSize> Parts{};
+  std::array<mmsghdr, BatchSize> Messages{};
+};
+
 /// Non-blocking. receive() and send() may be called from several threads at
 /// once; the kernel gives each datagram to one of them.
 class UdpSocket {
@@ -84,6 +114,9 @@
   /// datagram is lost, as any datagram may be.
   size_t send(SendBatch &Batch) const;
 
+  /// The same for a batch of one-part datagrams.
+  size_t send(DatagramBatch &Batch) const;
+
   /// Sends one datagram. False where the kernel refused it.
   bool sendOne(const base::Address &To, std::string_view Header,
                std::string_view Payload) const;
--- a/bilberry/settings/options.cc
+++ b/bilberry/settings/options.cc
@@ -27,8 +27,8 @@
                                             : "bilberry-balancer";
 }
 
-static void printHelp(members::MemberRole Role, std::ostream &Out) {
-  Out << "usage: " << programName(Role) << " --settings FILE [--check]\n"
+static void printHelp(std::string_view Program, std::ostream &Out) {
+  Out << "usage: " << Program << " --settings FILE [--check]\n"
       << "  --settings FILE  the INI file with this process's settings\n"
       << "  --check          check the settings and start nothing\n"
       << "  --help           print this and exit\n"
@@ -87,21 +87,23 @@
   return Options;
 }
 
-DaemonStart parseDaemonOptions(int Argc, char **Argv, members::MemberRole Role,
-                               std::ostream &Out, std::ostream &Err) {
+std::optional<ExitNow> parseProgramOptions(int Argc, char **Argv,
+                                           std::string_view Program,
+                                           const SettingsLoader &Load,
+                                           std::ostream &Out,
+                                           std::ostream &Err) {
   base::Findings Problems;
   DaemonOptions Options = readOptions(Argc, Argv, Problems);
   if (Options.IsHelp) {
-    printHelp(Role, Out);
+    printHelp(Program, Out);
     return ExitNow{ExitSuccess};
   }
   if (Options.IsVersion) {
-    Out << programName(Role) << " " << Version << "\n";
+    Out << Program << " " << Version << "\n";
     return ExitNow{ExitSuccess};
   }
-  ProcessSettings Settings;
   if (!Options.SettingsPath.empty()) {
-    Settings = loadProcessSettings(Options.SettingsPath, Role, Problems);
+    Load(Options.SettingsPath, Problems);
   }
   if (!Problems.empty()) {
     Err << Problems.text();
@@ -111,6 +113,21 @@
     Out << Options.SettingsPath << ": the settings are right\n";
     return ExitNow{ExitSuccess};
   }
+  return std::nullopt;
+}
+
+DaemonStart parseDaemonOptions(int Argc, char **Argv, members::MemberRole Role,
+                               std::ostream &Out, std::ostream &Err) {
+  ProcessSettings Settings;
+  std::optional<ExitNow> End = parseProgramOptions(
+      Argc, Argv, programName(Role),
+      [&](const std::string &Path, base::Findings &Problems) {
+        Settings = loadProcessSettings(Path, Role, Problems);
+      },
+      Out, Err);
+  if (End) {
+    return *End;
+  }
   return Settings;
 }
 
--- /dev/null
+++ b/bilberry/settings/packet_settings.cc
@@ -0,0 +1,132 @@
+#include "bilberry/settings/packet_settings.h"
+
+#include "bilberry/settings/section_reader.h"
+#include "bilberry/settings/values.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace bilberry::settings {
+
+using members::MemberRole;
+
+static constexpr uint64_t MaxPort = 65534;
+static constexpr uint64_t MinFlows = 1000;
+static constexpr uint64_t MaxFlowsSetting = 10000000;
+static constexpr uint64_t MaxTolerance = 100000;
+static constexpr double MaxFactor = 1000;
+static constexpr std::array<std::string_view, 5> Sections = {
+    "process", "listen", "upstream", "store", "log"};
+
+static base::Result<uint32_t> parseIp(std::string_view Text) {
+  auto Parsed = base::parseAddress(std::string(Text) + ":1");
+  if (!Parsed) {
+    return base::Error{base::ErrorCode::Malformed,
+                       "'" + std::string(Text) + "' is no IPv4 address"};
+  }
+  return Parsed.value().Ip;
+}
+
+static base::Result<double> parseFactor(std::string_view Text) {
+  double Value = 0;
+  auto [End, Fault] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  bool IsNumber = Fault == std::errc() && End == Text.data() + Text.size();
+  if (!IsNumber || !(Value >= 0 && Value <= MaxFactor)) {
+    return base::Error{base::ErrorCode::OutOfRange,
+                       "'" + std::string(Text) +
+                           "' is no number from 0 to 1000"};
+  }
+  return Value;
+}
+
+// A section that is missing is read as one without entries, so that its
+// missing keys are named.
+static IniSection sectionOf(const IniDocument &Document,
+                            std::string_view Name) {
+  const IniSection *Found = Document.find(Name);
+  return Found ? *Found : IniSection{std::string(Name), 0, {}};
+}
+
+static void readListen(const IniDocument &Document, MemberRole Role,
+                       PacketSettings &Value, base::Findings &Problems) {
+  IniSection Section = sectionOf(Document, "listen");
+  SectionReader Reader(Document.File, Section, Problems);
+  Value.Ip = Reader.required("ip", parseIp).value_or(0);
+  Value.Callers =
+      Reader.required("callers", parsePort).value_or(base::Address());
+  Value.Health = Reader.required("health", parsePort).value_or(base::Address());
+  Value.FirstPort = static_cast<uint16_t>(
+      Reader.required("first-port", unsignedBetween(1, MaxPort)).value_or(0));
+  if (Role == MemberRole::Agent) {
+    Value.Heartbeats =
+        Reader.required("heartbeats", parsePort).value_or(base::Address());
+    Value.FromUpstream =
+        Reader.required("from-upstream", parsePort).value_or(base::Address());
+  } else {
+    Reader.forbid("heartbeats", "is for agents");
+    Reader.forbid("from-upstream", "is for agents");
+  }
+  Reader.finish();
+}
+
+static void readUpstream(const IniDocument &Document, PacketSettings &Value,
+                         base::Findings &Problems) {
+  IniSection Section = sectionOf(Document, "upstream");
+  SectionReader Reader(Document.File, Section, Problems);
+  Value.Upstream =
+      Reader.required("address", parsePort).value_or(base::Address());
+  Value.Service =
+      base::ServiceName(Reader.required("service", parseName).value_or(""));
+  Value.Cold.Factor =
+      Reader.optional("cold-factor", parseFactor).value_or(Value.Cold.Factor);
+  Value.Cold.Tolerance = static_cast<uint32_t>(
+      Reader.optional("cold-tolerance", unsignedBetween(0, MaxTolerance))
+          .value_or(Value.Cold.Tolerance));
+  Reader.finish();
+}
+
+PacketSettings parsePacketSettings(std::string_view Text,
+                                   const std::string &File, MemberRole Role,
+                                   base::Findings &Problems) {
+  IniDocument Document = parseIni(Text, File, Problems);
+  PacketSettings Value;
+  IniSection Process = sectionOf(Document, "process");
+  SectionReader Reader(Document.File, Process, Problems);
+  Value.Name =
+      base::MemberName(Reader.required("name", parseName).value_or(""));
+  Value.DataCentre = base::DataCentreName(
+      Reader.required("data-centre", parseName).value_or(""));
+  if (Role == MemberRole::Balancer) {
+    Value.MaxFlows =
+        Reader.optional("max-flows", unsignedBetween(MinFlows, MaxFlowsSetting))
+            .value_or(Value.MaxFlows);
+  } else {
+    Reader.forbid("max-flows", "is for balancers");
+  }
+  Reader.finish();
+  readListen(Document, Role, Value, Problems);
+  if (Role == MemberRole::Agent) {
+    readUpstream(Document, Value, Problems);
+  } else if (const IniSection *Found = Document.find("upstream")) {
+    Problems.add({Document.File, Found->Line, Found->Name, ""},
+                 "is for agents; a balancer has no upstream");
+  }
+  Value.Store = readStoreSection(Document, Problems);
+  Value.Log = readLogSection(Document, Problems);
+  checkSections(Document, Sections, Problems);
+  return Value;
+}
+
+PacketSettings loadPacketSettings(const std::string &Path, MemberRole Role,
+                                  base::Findings &Problems) {
+  auto Text = readTextFile(Path);
+  if (!Text) {
+    Problems.add({Path, 0, "", ""}, Text.error().Message);
+    return {};
+  }
+  return parsePacketSettings(Text.value(), Path, Role, Problems);
+}
+
+} // namespace bilberry::settings
--- a/bilberry/settings/process_settings.cc
+++ b/bilberry/settings/process_settings.cc
@@ -42,7 +42,7 @@
 }
 
 // Reads an address that a process can listen on or call.
-static base::Result<base::Address> parsePort(std::string_view Text) {
+base::Result<base::Address> parsePort(std::string_view Text) {
   auto Parsed = base::parseAddress(Text);
   if (Parsed && Parsed.value().Port == 0) {
     return base::Error{base::ErrorCode::OutOfRange, "the port must not be 0"};
@@ -69,7 +69,6 @@
   void readUpstream();
   void readPeers();
   void readLog();
-  void checkSections();
 
   const IniDocument &Document;
   MemberRole Role;
@@ -85,7 +84,7 @@
   this->readUpstream();
   this->readPeers();
   this->readLog();
-  this->checkSections();
+  checkSections(this->Document, KnownSections, this->Problems);
   return std::move(this->Result);
 }
 
@@ -122,8 +121,8 @@
   Reader.finish();
 }
 
-static StoreSettings readStoreSection(const IniDocument &Document,
-                                      base::Findings &Problems) {
+StoreSettings readStoreSection(const IniDocument &Document,
+                               base::Findings &Problems) {
   const IniSection *Found = Document.find("store");
   IniSection Section = Found ? *Found : IniSection{"store", 0, {}};
   SectionReader Reader(Document.File, Section, Problems);
@@ -165,22 +164,33 @@
   Reader.finish();
 }
 
-void SettingsReader::readLog() {
-  IniSection Section = this->section("log");
-  SectionReader Reader(this->Document.File, Section, this->Problems);
-  ProcessSettings &Value = this->Result;
-  Value.LogLevel = Reader.optional("level", oneOf<log::Level>(LogLevels))
-                       .value_or(Value.LogLevel);
-  Value.LogLayout = Reader.optional("layout", oneOf<log::Layout>(LogLayouts))
-                        .value_or(Value.LogLayout);
+LogSettings readLogSection(const IniDocument &Document,
+                           base::Findings &Problems) {
+  const IniSection *Found = Document.find("log");
+  IniSection Section = Found ? *Found : IniSection{"log", 0, {}};
+  SectionReader Reader(Document.File, Section, Problems);
+  LogSettings Value;
+  Value.Level = Reader.optional("level", oneOf<log::Level>(LogLevels))
+                    .value_or(Value.Level);
+  Value.Layout = Reader.optional("layout", oneOf<log::Layout>(LogLayouts))
+                     .value_or(Value.Layout);
   Reader.finish();
+  return Value;
+}
+
+void SettingsReader::readLog() {
+  LogSettings Value = readLogSection(this->Document, this->Problems);
+  this->Result.LogLevel = Value.Level;
+  this->Result.LogLayout = Value.Layout;
 }
 
-void SettingsReader::checkSections() {
-  for (const IniSection &Section : this->Document.Sections) {
-    if (std::ranges::find(KnownSections, Section.Name) == KnownSections.end()) {
-      this->Problems.add({this->Document.File, Section.Line, Section.Name, ""},
-                         "unknown section");
+void checkSections(const IniDocument &Document,
+                   std::span<const std::string_view> Known,
+                   base::Findings &Problems) {
+  for (const IniSection &Section : Document.Sections) {
+    if (std::ranges::find(Known, Section.Name) == Known.end()) {
+      Problems.add({Document.File, Section.Line, Section.Name, ""},
+                   "unknown section");
     }
   }
 }
--- a/bilberry/settings/process_settings.h
+++ b/bilberry/settings/process_settings.h
@@ -10,10 +10,12 @@
 #include "bilberry/base/name.h"
 #include "bilberry/log/log_options.h"
 #include "bilberry/members/member.h"
+#include "bilberry/settings/ini_document.h"
 
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +67,29 @@
   base::Duration Timeout = DefaultStoreTimeout;
 };
 
+/// Reads the [store] section. Thread-safe, as the readers below.
+StoreSettings readStoreSection(const IniDocument &Document,
+                               base::Findings &Problems);
+
+/// How to log. A plain value.
+struct LogSettings {
+  log::Level Level = log::Level::Info;
+  log::Layout Layout = log::Layout::Text;
+};
+
+/// Reads the [log] section.
+LogSettings readLogSection(const IniDocument &Document,
+                           base::Findings &Problems);
+
+/// Reports every section that isn't one of Known.
+void checkSections(const IniDocument &Document,
+                   std::span<const std::string_view> Known,
+                   base::Findings &Problems);
+
+/// An address that a process can listen on or call. Errors: Malformed;
+/// OutOfRange for port 0.
+base::Result<base::Address> parsePort(std::string_view Text);
+
 /// Reads the [store] section alone, whatever else stands in the text, for a
 /// tool that is given the settings of another process. Thread-safe.
 StoreSettings parseStoreSettings(std::string_view Text, const std::string &File,
--- a/bilberry/store/backoff.h
+++ b/bilberry/store/backoff.h
@@ -19,14 +19,15 @@
 class Backoff {
 public:
   /// Seed should differ between processes.
-  explicit Backoff(uint32_t Seed) : Random(Seed) {}
+  explicit Backoff(uint32_t Seed, base::Duration Longest = MaxBackoff)
+      : Random(Seed), Longest(Longest) {}
 
   /// The next delay: between half of the present bound and the bound, which
-  /// doubles from MinBackoff up to MaxBackoff.
+  /// doubles from MinBackoff up to the longest.
   base::Duration next() {
     std::uniform_int_distribution<int64_t> Spread(this->Bound.count() / 2,
                                                   this->Bound.count());
-    this->Bound = std::min(2 * this->Bound, MaxBackoff);
+    this->Bound = std::min(2 * this->Bound, this->Longest);
     return base::Duration(Spread(this->Random));
   }
 
@@ -35,6 +36,7 @@
 
 private:
   std::minstd_rand Random;
+  base::Duration Longest;
   base::Duration Bound = MinBackoff;
 };
 
--- a/bilberry/store/prefix_watcher.h
+++ b/bilberry/store/prefix_watcher.h
@@ -36,10 +36,22 @@
 template <Store S> class PrefixWatcher {
 public:
   /// Precondition: Source outlives the watcher; RereadInterval is positive.
+  /// LongestDelay bounds the time between two tries while the store is down.
   PrefixWatcher(S &Source, std::string Prefix,
-                base::Duration RereadInterval = DefaultRereadInterval)
+                base::Duration RereadInterval = DefaultRereadInterval,
+                base::Duration LongestDelay = MaxBackoff)
       : Source(Source), Prefix(std::move(Prefix)),
-        RereadInterval(RereadInterval), Delays(std::random_device()()) {}
+        RereadInterval(RereadInterval),
+        Delays(std::random_device()(), LongestDelay) {}
+
+  /// Ends the present watch, so that the prefix is listed anew at once: for a
+  /// process that learns elsewhere that its watch misses changes. Thread-safe.
+  void reread() {
+    std::lock_guard Lock(this->Mutex);
+    if (this->Watching) {
+      this->Watching->request_stop();
+    }
+  }
 
   /// Blocks until Stop is requested. In this thread and never at once, calls
   /// OnListing(const Listing &) for each listing, OnEvent(const WatchEvent &)
@@ -79,6 +91,7 @@
                  const WatchCallback &TakeEvent) {
     auto Begin = std::chrono::steady_clock::now();
     std::stop_source Ended;
+    this->setWatching(&Ended);
     std::stop_callback Forward(Stop, [&Ended] { Ended.request_stop(); });
     // Ends the watch when the interval is over; ends itself with the watch.
     std::jthread Timer([this, &Ended](const std::stop_token &WatchIsOver) {
@@ -87,17 +100,25 @@
     });
     base::Result<void> Watched =
         this->Source.watch(this->Prefix, After, TakeEvent, Ended.get_token());
+    this->setWatching(nullptr);
     if (Watched || std::chrono::steady_clock::now() - Begin > MaxBackoff) {
       this->Delays.reset();
     }
     return Watched.has_value();
   }
 
+  void setWatching(std::stop_source *Source) {
+    std::lock_guard Lock(this->Mutex);
+    this->Watching = Source;
+  }
+
   S &Source;
   std::string Prefix;
   base::Duration RereadInterval;
   Backoff Delays;
   std::chrono::steady_clock::time_point ListingBegan;
+  std::mutex Mutex;
+  std::stop_source *Watching = nullptr;
 };
 
 } // namespace bilberry::store
--- /dev/null
+++ b/bilberry/targets/route_table.cc
@@ -0,0 +1,29 @@
+#include "bilberry/targets/route_table.h"
+
+#include <algorithm>
+
+namespace bilberry::targets {
+
+const base::ServiceName &Route::serviceOf(uint64_t FlowHash) const {
+  uint64_t Total = 0;
+  for (const RouteShare &Share : this->Shares) {
+    Total += Share.Weight;
+  }
+  uint64_t Point = Total == 0 ? 0 : FlowHash % Total;
+  for (const RouteShare &Share : this->Shares) {
+    if (Point < Share.Weight) {
+      return Share.Service;
+    }
+    Point -= Share.Weight;
+  }
+  return this->Shares.front().Service;
+}
+
+bool Route::allows(const base::ServiceName &Service) const {
+  return std::any_of(this->Shares.begin(), this->Shares.end(),
+                     [&](const RouteShare &Share) {
+                       return Share.Service == Service && Share.Weight > 0;
+                     });
+}
+
+} // namespace bilberry::targets
--- /dev/null
+++ b/daemons/bilberry_packet_agent.cc
@@ -0,0 +1,46 @@
+// bilberry-packet-agent: relays packets for the upstream beside it, on the
+// users' platform.
+//
+//   SIGTERM, SIGINT  tells the balancers what it knows, and ends
+//   SIGHUP           the settings file has changed
+
+#include "bilberry/agent/packet_agent_process.h"
+#include "platform/http_endpoints.h"
+#include "platform/kv_store.h"
+#include "platform/operator_documents.h"
+#include "platform/packet_head.h"
+#include "platform/program.h"
+
+using namespace bilberry;
+
+int main(int Argc, char **Argv) {
+  platform::Program Program("bilberry-packet-agent",
+                            members::MemberRole::Agent);
+  if (std::optional<int> Code = Program.begin(Argc, Argv)) {
+    return *Code;
+  }
+  const settings::PacketSettings &Settings = Program.settings();
+  platform::KvStore Store(Settings.Store.Address, Program.seed());
+  agent::PacketAgentProcess<platform::PacketHead, platform::KvStore> Agent(
+      Settings, Store, {platform::OperatorPrefix, platform::documentFormat()});
+  if (base::Result<void> Started = Agent.start(); !Started) {
+    return Program.fail(Started.error());
+  }
+  platform::HttpEndpoints Heartbeats;
+  Heartbeats.serveHeartbeats(
+      [&Agent](const members::UpstreamReport &Report) {
+        Agent.onReport(Report);
+      },
+      [&Agent](const std::string &Id) { Agent.onLeave(Id); },
+      [&Agent](const std::string &Reason) { Agent.onFault(Reason); });
+  platform::HttpEndpoints Health;
+  Health.serveHealth([] { return true; });
+  for (auto [Server, At] : {std::pair(&Heartbeats, Settings.Heartbeats),
+                            std::pair(&Health, Settings.Health)}) {
+    if (base::Result<void> Started = Server->start(At); !Started) {
+      return Program.fail(Started.error());
+    }
+  }
+  Agent.run([&Program] { Program.reload(); });
+  Program.end();
+}
