Ask restarted agents' upstreams quickly, and none of them twice

Cause: with every balancer and agent killed, only upstreams know of a flow. Now all are asked within milliseconds, an agent remembers what its upstream gave back, and two is the bound only while an agent is silent. Ruled out: frozen directories, late answers (probes in the log 2 ms apart).

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -55,7 +55,8 @@
                             const Packet &Packet, PacketActions &Out) {
   FlowId Id = Packet.callersFlow();
   HeldFlow *Known = this->Flows.find(Id);
-  bool IsCopy = Known && Now - Known->OpenedAt < CopyLife;
+  bool IsCopy = Known && Known->Stage != FlowStage::Absent &&
+                Now - Known->OpenedAt < CopyLife;
   if (IsCopy && Known->Stage != FlowStage::Opening) {
     ++this->Counts.Dropped;
     return;
@@ -91,6 +92,9 @@
 // holds it. A caller whose opening packet reached two upstreams acknowledges
 // the sequence number of one.
 bool PacketAgent::belongsHere(HeldFlow &Flow, const Packet &Packet) const {
+  if (Flow.Stage == FlowStage::Absent) {
+    return false;
+  }
   if (Flow.Stage != FlowStage::Opening || Packet.IsReset) {
     return true;
   }
@@ -172,7 +176,7 @@
   }
   FlowId Id = Packet.upstreamsFlow();
   HeldFlow *Flow = this->Flows.find(Id);
-  if (!Flow) {
+  if (!Flow || Flow->Stage == FlowStage::Absent) {
     Flow = &this->Flows.start(
         Now, Id, Packet.IsSyn ? FlowStage::Opening : FlowStage::Open);
   }
@@ -199,7 +203,9 @@
   ++this->Counts.Bounced;
   FlowId Id = Packet.callersFlow();
   HeldFlow *Flow = this->Flows.find(Id);
-  if (!Flow || Flow->Stage == FlowStage::Ending) {
+  bool IsOver = !Flow || Flow->Stage == FlowStage::Ending ||
+                Flow->Stage == FlowStage::Absent;
+  if (IsOver) {
     ++this->Counts.Dropped;
     return;
   }
@@ -209,7 +215,11 @@
   }
   HopTag Reason = Packet.opensFlow() ? HopTag::Shed : HopTag::NotHeld;
   base::Address Balancer = Flow->Balancer;
-  this->Flows.erase(Id);
+  if (Packet.opensFlow()) {
+    this->Flows.erase(Id);
+  } else {
+    this->Flows.start(Now, Id, FlowStage::Absent);
+  }
   Out.Decisions.push_back(
       {"flow-returned", Id, Balancer, packet::hopTagText(Reason), 0});
   this->giveBack(Balancer, Packet, Reason, Out);
@@ -337,6 +347,19 @@
   }
 }
 
+static wire::Holding holdingOf(FlowStage Stage) {
+  switch (Stage) {
+  case FlowStage::Opening:
+    return wire::Holding::Unsure;
+  case FlowStage::Absent:
+    return wire::Holding::Absent;
+  case FlowStage::Open:
+  case FlowStage::Ending:
+    break;
+  }
+  return wire::Holding::Held;
+}
+
 void PacketAgent::onQuery(base::TimePoint Now, const base::Address &From,
                           const wire::HolderQuery &Query, PacketActions &Out) {
   wire::HolderAnswer Answer;
@@ -348,8 +371,7 @@
     wire::Holding Holding = this->knowsAllFlows(Now) ? wire::Holding::Absent
                                                      : wire::Holding::Unsure;
     if (Flow) {
-      Holding = Flow->Stage == FlowStage::Opening ? wire::Holding::Unsure
-                                                  : wire::Holding::Held;
+      Holding = holdingOf(Flow->Stage);
     }
     Answer.Holdings.push_back(Holding);
   }
--- a/bilberry/routing/held_flows.cc
+++ b/bilberry/routing/held_flows.cc
@@ -13,6 +13,20 @@
   return Entry;
 }
 
+base::Duration HeldFlows::life(FlowStage Stage, base::Duration IdleLife) {
+  switch (Stage) {
+  case FlowStage::Opening:
+    return OpeningLife;
+  case FlowStage::Open:
+    return IdleLife;
+  case FlowStage::Ending:
+    return EndingLife;
+  case FlowStage::Absent:
+    return AbsentLife;
+  }
+  return IdleLife;
+}
+
 void HeldFlows::erase(const packet::FlowId &Flow) {
   auto It = this->Flows.find(Flow);
   if (It != this->Flows.end()) {
--- a/bilberry/routing/held_flows.h
+++ b/bilberry/routing/held_flows.h
@@ -20,6 +20,9 @@
   Open,
   /// Both ends have finished, or one has reset it. Kept for late packets.
   Ending,
+  /// The upstream was asked and doesn't hold it. Kept, so that it isn't asked
+  /// again.
+  Absent,
 };
 
 struct HeldFlow {
@@ -49,6 +52,8 @@
 /// How long an ended flow is kept for late packets: longer than the longest
 /// interval between two retransmissions.
 inline constexpr base::Duration EndingLife = std::chrono::seconds(4);
+/// How long an upstream's word that it doesn't hold a flow is kept.
+inline constexpr base::Duration AbsentLife = std::chrono::seconds(30);
 /// How far an acknowledgement may lie beyond the upstream's first sequence
 /// number: 16 packets of 1,200 bytes in flight, with room.
 inline constexpr uint32_t AcknowledgementWindow = 76800;
@@ -76,12 +81,7 @@
   template <typename Handler>
   void expire(base::TimePoint Now, base::Duration IdleLife, Handler OnErased) {
     for (auto It = this->Flows.begin(); It != this->Flows.end();) {
-      base::Duration Life = IdleLife;
-      if (It->second.Stage != FlowStage::Open) {
-        Life =
-            It->second.Stage == FlowStage::Opening ? OpeningLife : EndingLife;
-      }
-      if (Now - It->second.LastPacket <= Life) {
+      if (Now - It->second.LastPacket <= life(It->second.Stage, IdleLife)) {
         ++It;
         continue;
       }
@@ -104,6 +104,8 @@
   uint32_t working() const { return this->Working; }
 
 private:
+  static base::Duration life(FlowStage Stage, base::Duration IdleLife);
+
   Map Flows;
   uint32_t Working = 0;
 };
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -184,7 +184,7 @@
   }
   if (!Packet.opensFlow()) {
     if (auto It = this->Searches.find(Id); It != this->Searches.end()) {
-      It->second.WrongProbes.push_back(Now);
+      ++It->second.WrongProbes;
     }
     this->search(Now, Packet, Out);
     return;
@@ -320,7 +320,9 @@
                             Search &Entry, bool AllAnswered,
                             PacketActions &Out) {
   Entry.IsAsking = false;
+  Entry.AllAnswered = AllAnswered;
   if (!Entry.Unsure.empty()) {
+    this->sortUnsure(Id, Entry);
     this->probeNext(Now, Id, Entry, Out);
     return;
   }
@@ -336,14 +338,26 @@
   this->dropPackets(Entry);
 }
 
+// The likeliest last: of the route's service, and near.
+void PacketRouter::sortUnsure(const FlowId &Id, Search &Entry) const {
+  const targets::Route *Route = this->Operators->Routes
+                                    ? this->Operators->Routes->find(Id.Route)
+                                    : nullptr;
+  auto rank = [&](AgentIndex Index) {
+    const wire::AgentStatus &Status = this->Agents.at(Index).Status;
+    bool IsOfRoute = Route && Route->allows(Status.Service);
+    bool IsNear = Status.DataCentre == this->Self.DataCentre;
+    return (IsOfRoute ? 2 : 0) + (IsNear ? 1 : 0);
+  };
+  std::ranges::stable_sort(Entry.Unsure, {}, rank);
+}
+
 // Gives one waiting packet to an upstream that may hold the flow. False where
-// none is left, or too many were wrong lately.
+// none is left, or too many were wrong.
 bool PacketRouter::probeNext(base::TimePoint Now, const FlowId &Id,
                              Search &Entry, PacketActions &Out) {
-  std::erase_if(Entry.WrongProbes,
-                [&](base::TimePoint At) { return Now - At > ProbeWindow; });
-  if (Entry.Unsure.empty() || Entry.WrongProbes.size() >= MaxWrongProbes ||
-      Entry.Packets.empty()) {
+  bool IsBlind = !Entry.AllAnswered && Entry.WrongProbes >= MaxBlindProbes;
+  if (Entry.Unsure.empty() || IsBlind || Entry.Packets.empty()) {
     this->dropPackets(Entry);
     return false;
   }
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -7,8 +7,10 @@
 // holds its flow: known from having placed it, from the agents' statuses, or
 // by asking all agents, while the packet waits. Where an agent was restarted
 // beside a living upstream nobody may know; then the packet itself is the
-// question, to one upstream after the other and never to more than two in the
-// window in which a third would be one too many.
+// question, to one upstream after the other, quickly: what counts against us
+// is a flow whose packets go astray for seconds. Each agent remembers what its
+// upstream gave back, so none is asked twice. While an agent is silent, which
+// may be the one, no more than two upstreams are asked.
 //
 // A flow is reset only where its upstream's agent is gone, or where every
 // agent that the store knows has said twice, a while apart, that it isn't
@@ -37,10 +39,9 @@
 inline constexpr size_t MaxWaitingPackets = 6;
 /// Bytes of all packets that wait.
 inline constexpr size_t MaxWaitingBytes = size_t{2} << 20U;
-/// Wrong upstreams that may be given packets of one flow within ProbeWindow.
-inline constexpr uint32_t MaxWrongProbes = 2;
-/// A third wrong upstream within two seconds would be one too many.
-inline constexpr base::Duration ProbeWindow = std::chrono::milliseconds(2300);
+/// Wrong upstreams that may be given packets of one flow while an agent is
+/// silent: a third would be one too many.
+inline constexpr uint32_t MaxBlindProbes = 2;
 /// A flow that nobody holds is reset after this time of being asked for: by
 /// then an agent that was just announced has been heard of.
 inline constexpr base::Duration UnknownDelay = std::chrono::seconds(2);
@@ -138,7 +139,9 @@
     std::vector<members::AgentIndex> Waiting;
     std::vector<members::AgentIndex> Unsure;
     std::vector<std::string> Packets;
-    std::vector<base::TimePoint> WrongProbes;
+    uint32_t WrongProbes = 0;
+    /// Every agent has answered the last question.
+    bool AllAnswered = false;
     uint32_t LastAcknowledged = 0;
   };
 
@@ -156,6 +159,7 @@
   void dropPackets(Search &Entry);
   void conclude(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
                 bool AllAnswered, packet::PacketActions &Out);
+  void sortUnsure(const packet::FlowId &Id, Search &Entry) const;
   bool probeNext(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
                  packet::PacketActions &Out);
   void found(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
--- /dev/null
+++ b/bilberry/standin/packet_upstream.cc
@@ -0,0 +1,42 @@
+#include "bilberry/standin/packet_upstream.h"
+
+namespace bilberry::standin {
+
+static constexpr uint16_t ResponseBytes = 300;
+
+UpstreamReply PacketUpstream::take(base::TimePoint Now,
+                                   const packet::Packet &Packet) {
+  packet::FlowId Id = Packet.callersFlow();
+  auto Known = this->Flows.find(Id);
+  UpstreamReply Reply;
+  if (Packet.opensFlow()) {
+    this->Openings.push_back(Now);
+    if (this->IsFull) {
+      Reply.IsBounced = true;
+      return Reply;
+    }
+    if (Known == this->Flows.end()) {
+      Known = this->Flows.emplace(Id, Flow{this->FirstSequence, false}).first;
+    }
+    Reply.HasAnswer = true;
+    Reply.IsSyn = true;
+    Reply.Sequence = Known->second.Sequence;
+    return Reply;
+  }
+  bool IsOurs = Known != this->Flows.end() &&
+                (Known->second.IsOpen ||
+                 Packet.Acknowledged == Known->second.Sequence + 1);
+  if (!IsOurs) {
+    Reply.IsBounced = true;
+    return Reply;
+  }
+  Known->second.IsOpen = true;
+  if (Packet.DataBytes > 0) {
+    Reply.HasAnswer = true;
+    Reply.Sequence = Known->second.Sequence + 1;
+    Reply.DataBytes = ResponseBytes;
+  }
+  return Reply;
+}
+
+} // namespace bilberry::standin
