Hold opening packets while upstreams are cold; reset what nobody holds

Cause: after a loss of all power each upstream bears five new flows a second for two seconds.

Change: an opening queue at the balancer, the agent's silence of 5 s as the only sign that it is gone, a reset once every agent has said twice that it doesn't hold a flow, a lease of 15 s for agents.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -443,13 +443,13 @@
   this->ToldCondition = Status.Condition;
   this->NextStatus = Now + StatusInterval;
   do {
-    auto move = [](std::vector<FlowId> &From, std::vector<FlowId> &To) {
+    auto Move = [](std::vector<FlowId> &From, std::vector<FlowId> &To) {
       size_t Count = std::min(From.size(), wire::MaxFlowsPerMessage / 2);
       To.assign(From.end() - static_cast<std::ptrdiff_t>(Count), From.end());
       From.resize(From.size() - Count);
     };
-    move(this->Opened, Status.Opened);
-    move(this->Ended, Status.Ended);
+    Move(this->Opened, Status.Opened);
+    Move(this->Ended, Status.Ended);
     for (const auto &[Address, Known] : this->Balancers) {
       Out.Messages.push_back({Address, Status});
     }
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -22,6 +22,11 @@
 /// of the same name: the wall clock was set back between the two runs.
 inline constexpr base::Incarnation RunStep = 60000;
 
+/// How long an agent stays announced without a word to the store. It is heard
+/// of directly, so the announcement only introduces it; a longer lease costs
+/// fewer calls and outlasts the store's short outages.
+inline constexpr base::Duration AgentLeaseTtl = std::chrono::seconds(15);
+
 /// The metrics of an agent as a page's samples.
 void addAgentMetrics(const PacketAgent &Agent, metrics::Exposition &Page);
 
@@ -206,7 +211,7 @@
     while (!Stop.stop_requested()) {
       members::Announcer<S, base::BootClock> Announcer(
           this->Source, this->Node.clock(), this->Self,
-          static_cast<uint32_t>(this->Node.run()));
+          static_cast<uint32_t>(this->Node.run()), AgentLeaseTtl);
       Announcer.run(Stop);
       if (!Stop.stop_requested()) {
         base::Incarnation Next = this->Self.get().Run + RunStep;
--- a/bilberry/balancer/packet_balancer.cc
+++ b/bilberry/balancer/packet_balancer.cc
@@ -12,6 +12,10 @@
                "Packets that an agent gave back", Counts.Returned);
   Page.counter("bilberry_flows_refused_total",
                "Opening packets that no upstream took", Counts.Refused);
+  Page.counter("bilberry_flows_held_total",
+               "Opening packets that waited for room", Counts.Held);
+  Page.counter("bilberry_flows_given_up_total",
+               "Opening packets that found no room in time", Counts.GivenUp);
   Page.counter("bilberry_no_route_total", "Opening packets without a route",
                Counts.NoRoute);
   Page.counter("bilberry_searches_total", "Flows whose holder was asked for",
--- a/bilberry/balancer/packet_balancer.h
+++ b/bilberry/balancer/packet_balancer.h
@@ -38,7 +38,7 @@
       : Settings(Settings), Node(Settings, Source, std::move(Documents)),
         Router({Settings.Name, Node.run(), Settings.DataCentre,
                 Settings.pages(), Settings.MaxFlows},
-               Node.board()),
+               Node.now(), Node.board()),
         Watcher(Source, Node.clock(), Members, MembersReread,
                 targets::LongestStoreDelay) {}
 
--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -1,7 +1,13 @@
 #include "bilberry/members/agent_views.h"
 
+#include <algorithm>
+
 namespace bilberry::members {
 
+// Two calls of tick() further apart than this mean that this process stood
+// still.
+static constexpr base::Duration OwnPause = std::chrono::milliseconds(500);
+
 AgentIndex AgentViews::add(const base::MemberName &Name) {
   if (AgentIndex Known = this->byName(Name); Known != NoAgent) {
     return Known;
@@ -34,10 +40,8 @@
                                const std::vector<Member> &Members) {
   std::set<AgentIndex> Announced;
   for (const Member &Value : Members) {
-    if (Value.Role != MemberRole::Agent) {
-      continue;
-    }
-    AgentIndex Index = this->add(Value.Name);
+    AgentIndex Index =
+        Value.Role == MemberRole::Agent ? this->add(Value.Name) : NoAgent;
     if (Index == NoAgent) {
       continue;
     }
@@ -47,10 +51,10 @@
     if (!View.isHeard() || View.IsGone) {
       this->place(Index, Value.Data, Value.Control);
     }
-    if (!View.IsAnnounced || View.IsGone) {
+    if (!View.IsAnnounced) {
       View.HeardAt = std::max(View.HeardAt, Now - FreshStatus);
+      View.IsGone = false;
     }
-    View.IsGone = false;
   }
   for (size_t I = 0; I < this->Views.size(); ++I) {
     this->Views[I].IsAnnounced = Announced.contains(static_cast<AgentIndex>(I));
@@ -77,15 +81,24 @@
   return Index;
 }
 
-void AgentViews::tick(base::TimePoint Now, bool StoreAnswers) {
+void AgentViews::tick(base::TimePoint Now) {
+  base::Duration Gap = Now - this->TickedAt;
+  bool WasPaused = this->TickedAt != base::TimePoint() && Gap > OwnPause;
+  this->TickedAt = Now;
   for (AgentView &View : this->Views) {
-    bool IsSilent = Now - View.HeardAt > GoneSilence;
-    if (IsSilent && StoreAnswers && !View.IsAnnounced) {
-      View.IsGone = true;
+    if (WasPaused) {
+      View.HeardAt += Gap;
     }
+    View.IsGone = Now - View.HeardAt > GoneSilence;
   }
 }
 
+bool AgentViews::allFresh(base::TimePoint Now) const {
+  return std::ranges::all_of(this->Views, [&](const AgentView &View) {
+    return View.IsGone || View.isFresh(Now);
+  });
+}
+
 AgentIndex AgentViews::byData(const base::Address &Data) const {
   auto It = this->ByData.find(Data);
   return It == this->ByData.end() ? NoAgent : It->second;
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -3,8 +3,9 @@
 //
 // An agent that is heard lives, whatever the store lost; one that is silent is
 // passed over for new flows but may live. It counts as gone, with the flows of
-// its upstream, only where it is silent and the store, which answers, has no
-// announcement of it either.
+// its upstream, after a silence that is longer than any restart: nothing that
+// is sent to it arrives, so its callers are better off elsewhere. A pause of
+// this process itself is no silence of theirs.
 
 #ifndef BILBERRY_MEMBERS_AGENT_VIEWS_H
 #define BILBERRY_MEMBERS_AGENT_VIEWS_H
@@ -23,8 +24,8 @@
 
 /// A status older than this says little of the load: four were missed.
 inline constexpr base::Duration FreshStatus = std::chrono::milliseconds(1100);
-/// An agent that was silent for this long and isn't announced is gone. Longer
-/// than a process takes to be started again.
+/// An agent that was silent for this long is gone. Longer than a process takes
+/// to be started again.
 inline constexpr base::Duration GoneSilence = std::chrono::seconds(5);
 /// Agents that a balancer knows at most.
 inline constexpr size_t MaxAgents = 4096;
@@ -65,9 +66,10 @@
   /// first of a run. NoAgent where there is no room.
   AgentIndex takeStatus(base::TimePoint Now, const base::Address &From,
                         const wire::AgentStatus &Status, bool &IsNewRun);
-  /// Marks what is silent and unannounced as gone. StoreAnswers: whether the
-  /// announcements are up to date.
-  void tick(base::TimePoint Now, bool StoreAnswers);
+  /// Marks what is silent as gone. Call several times a second.
+  void tick(base::TimePoint Now);
+  /// True where every agent that isn't gone has been heard of lately.
+  bool allFresh(base::TimePoint Now) const;
 
   AgentView &at(AgentIndex Index) { return this->Views[Index]; }
   const AgentView &at(AgentIndex Index) const { return this->Views[Index]; }
@@ -82,6 +84,7 @@
   void place(AgentIndex Index, const base::Address &Data,
              const base::Address &Control);
 
+  base::TimePoint TickedAt;
   // A deque, so that references stay valid.
   std::deque<AgentView> Views;
   std::map<base::MemberName, AgentIndex> Names;
--- a/bilberry/members/announcer.h
+++ b/bilberry/members/announcer.h
@@ -37,8 +37,8 @@
   /// Precondition: all three outlive the announcer. Seed spreads the retries
   /// of different processes.
   Announcer(S &Target, const C &Time, const board::LocalMember &Local,
-            uint32_t Seed)
-      : Target(Target), Time(Time), Local(Local), Keeper(Seed) {}
+            uint32_t Seed, base::Duration Ttl = LeaseTtl)
+      : Target(Target), Time(Time), Local(Local), Keeper(Seed, Ttl) {}
 
   /// Blocks until Stop is requested, and the member is withdrawn or
   /// WithdrawTimeout has passed; or until a newer run has replaced this one.
@@ -91,7 +91,8 @@
 private:
   void perform(const GrantStep &) {
     base::TimePoint SentAt = this->Time.now();
-    base::Result<store::LeaseId> Lease = this->Target.grantLease(LeaseTtl);
+    base::Result<store::LeaseId> Lease =
+        this->Target.grantLease(this->Keeper.ttl());
     if (Lease) {
       this->Keeper.granted(SentAt, Lease.value());
     } else {
--- a/bilberry/members/lease_keeper.cc
+++ b/bilberry/members/lease_keeper.cc
@@ -56,8 +56,8 @@
 }
 
 void LeaseKeeper::extend(base::TimePoint SentAt) {
-  this->Status.HeldUntil = SentAt + LeaseTtl;
-  this->RenewAt = SentAt + RenewInterval;
+  this->Status.HeldUntil = SentAt + this->Ttl;
+  this->RenewAt = SentAt + renewInterval(this->Ttl);
   this->Delays.reset();
 }
 
@@ -90,7 +90,7 @@
     this->dropLease();
     return;
   }
-  this->RetryAt = Now + std::min(this->Delays.next(), MaxRetryDelay);
+  this->RetryAt = Now + std::min(this->Delays.next(), maxRetryDelay(this->Ttl));
 }
 
 // The announcement went with the lease.
--- a/bilberry/members/lease_keeper.h
+++ b/bilberry/members/lease_keeper.h
@@ -23,11 +23,18 @@
 
 /// How long an announcement outlives its process.
 inline constexpr base::Duration LeaseTtl = std::chrono::seconds(6);
-/// How often the lease is renewed: two renewals may fail before it expires.
-inline constexpr base::Duration RenewInterval = LeaseTtl / 3;
+/// How often a lease is renewed: two renewals may fail before it expires.
+inline constexpr base::Duration renewInterval(base::Duration Ttl) {
+  return Ttl / 3;
+}
 /// The longest delay before a failed call is made again; short beside the
 /// lease, so that a store which comes back in time saves it.
-inline constexpr base::Duration MaxRetryDelay = LeaseTtl / 6;
+inline constexpr base::Duration maxRetryDelay(base::Duration Ttl) {
+  return Ttl / 6;
+}
+/// The same for the usual lease.
+inline constexpr base::Duration RenewInterval = renewInterval(LeaseTtl);
+inline constexpr base::Duration MaxRetryDelay = maxRetryDelay(LeaseTtl);
 /// Changes that come closer together than this are announced as one.
 inline constexpr base::Duration PublishInterval =
     std::chrono::milliseconds(500);
@@ -84,8 +91,13 @@
 /// one of the methods that follow it. SentAt is the time before the call.
 class LeaseKeeper {
 public:
-  /// Seed spreads the retries of different processes.
-  explicit LeaseKeeper(uint32_t Seed) : Delays(Seed) {}
+  /// Seed spreads the retries of different processes. Ttl is how long the
+  /// announcement outlives the process.
+  explicit LeaseKeeper(uint32_t Seed, base::Duration Ttl = LeaseTtl)
+      : Delays(Seed), Ttl(Ttl) {}
+
+  /// The lease's length.
+  base::Duration ttl() const { return this->Ttl; }
 
   /// What to do now so that Wanted is announced.
   LeaseStep next(base::TimePoint Now, const Member &Wanted) const;
@@ -118,6 +130,7 @@
   LeaseStep nextWithdrawal(Member Wanted) const;
 
   store::Backoff Delays;
+  base::Duration Ttl;
   LeaseStatus Status;
   store::LeaseId Lease = 0;
   base::TimePoint RenewAt;
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -1,6 +1,7 @@
 #include "bilberry/routing/packet_router.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace bilberry::routing {
@@ -16,9 +17,10 @@
 // Old flows and placements are looked for this often.
 static constexpr base::Duration ExpiryInterval = std::chrono::seconds(1);
 
-PacketRouter::PacketRouter(BalancerIdentity Self,
+PacketRouter::PacketRouter(BalancerIdentity Self, base::TimePoint StartedAt,
                            const targets::OperatorBoard &Board)
-    : Self(std::move(Self)), Board(Board), Operators(Board.current()) {}
+    : Self(std::move(Self)), StartedAt(StartedAt), Board(Board),
+      Operators(Board.current()) {}
 
 packet::HopMark PacketRouter::mark(HopTag Tag) const {
   return {static_cast<uint32_t>(this->routeVersion()), Tag};
@@ -96,6 +98,10 @@
 void PacketRouter::onOpening(base::TimePoint Now, const Packet &Packet,
                              PacketActions &Out) {
   FlowId Id = Packet.callersFlow();
+  if (this->Queue.contains(Id)) {
+    ++this->Counts.Dropped;
+    return;
+  }
   auto Known = this->Flows.find(Id);
   if (Known != this->Flows.end()) {
     KnownFlow &Flow = Known->second;
@@ -119,31 +125,43 @@
 void PacketRouter::place(base::TimePoint Now, const Packet &Packet,
                          PacketActions &Out) {
   this->Operators = this->Board.current();
-  FlowId Id = Packet.callersFlow();
+  if (!this->Operators->Routes) {
+    this->hold(Now, Packet, nullptr, Out);
+    return;
+  }
   const targets::Route *Route =
-      this->Operators->Routes
-          ? this->Operators->Routes->find(Packet.Destination)
-          : nullptr;
+      this->Operators->Routes->find(Packet.Destination);
   if (!Route) {
     ++this->Counts.NoRoute;
-    if (this->Operators->Routes) {
-      this->refuse(Now, Packet, "no such route", Out);
-    }
+    this->refuse(Packet, "no such route", Out);
+    return;
+  }
+  if (this->tryPlace(Now, Packet.callersFlow(), Packet.Bytes, *Route, Out)) {
     return;
   }
+  if (this->mayWait(Now, *Route)) {
+    this->hold(Now, Packet, Route, Out);
+  } else {
+    this->refuse(Packet, "no upstream takes it", Out);
+  }
+}
+
+bool PacketRouter::tryPlace(base::TimePoint Now, const FlowId &Id,
+                            std::span<char> Bytes, const targets::Route &Route,
+                            PacketActions &Out) {
   auto Begun = this->Placements.find(Id);
   static const TriedAgents None;
   const TriedAgents &Tried =
       Begun == this->Placements.end() ? None : Begun->second.Tried;
+  if (Tried.size() >= MaxOffers) {
+    return false;
+  }
   uint64_t Hash = packet::flowHash(Id);
   AgentIndex Chosen =
-      Tried.size() >= MaxOffers
-          ? NoAgent
-          : chooseUpstream(this->Agents, {Now, Route->serviceOf(Hash),
-                                          this->Self.DataCentre, Hash, Tried});
+      chooseUpstream(this->Agents, {Now, Route.serviceOf(Hash),
+                                    this->Self.DataCentre, Hash, Tried});
   if (Chosen == NoAgent) {
-    this->refuse(Now, Packet, "no upstream takes it", Out);
-    return;
+    return false;
   }
   AgentView &View = this->Agents.at(Chosen);
   ++View.SentSince;
@@ -156,12 +174,81 @@
       {"flow-placed", Id, View.Data,
        View.Status.DataCentre == this->Self.DataCentre ? "near" : "elsewhere",
        this->routeVersion()});
-  Out.Packets.push_back({packet::Receiver::Peer, View.Data, Packet.Bytes,
+  Out.Packets.push_back({packet::Receiver::Peer, View.Data, Bytes,
                          this->mark(HopTag::Opening), false});
+  return true;
 }
 
-void PacketRouter::refuse(base::TimePoint, const Packet &Packet,
-                          std::string_view Reason, PacketActions &Out) {
+// Whether an upstream is expected to take the route's flows before their
+// callers give up.
+bool PacketRouter::mayWait(base::TimePoint Now,
+                           const targets::Route &Route) const {
+  if (Now - this->StartedAt < WarmStart) {
+    return true;
+  }
+  return std::ranges::any_of(Route.Shares,
+                             [&](const targets::RouteShare &Share) {
+                               auto Served = this->ServedAt.find(Share.Service);
+                               return Served != this->ServedAt.end() &&
+                                      Now - Served->second < ServiceOutage;
+                             });
+}
+
+void PacketRouter::hold(base::TimePoint Now, const Packet &Packet,
+                        const targets::Route *Route, PacketActions &Out) {
+  FlowId Id = Packet.callersFlow();
+  // A packet that was placed and came back has waited before.
+  auto Begun = this->Placements.find(Id);
+  base::TimePoint ArrivedAt = Now;
+  if (Begun != this->Placements.end()) {
+    ArrivedAt = Begun->second.StartedAt;
+    Begun->second.Tried.clear();
+  }
+  bool IsHeld = this->Queue.hold(
+      {Id, std::string(Packet.Bytes.data(), Packet.Bytes.size()), ArrivedAt,
+       Route ? Route->Priority : 0, Route ? Route->Aim : base::Duration(0)});
+  if (!IsHeld) {
+    this->refuse(Packet, "too many wait", Out);
+    return;
+  }
+  ++this->Counts.Held;
+  Out.Decisions.push_back(
+      {"flow-held", Id, {}, "no upstream has room", this->routeVersion()});
+}
+
+// Places what waits, as far as there is room.
+void PacketRouter::offerHeld(base::TimePoint Now, PacketActions &Out) {
+  this->Counts.GivenUp += this->Queue.expire(Now);
+  this->Operators = this->Board.current();
+  if (this->Queue.size() == 0 || !this->Operators->Routes) {
+    return;
+  }
+  // Once a route's flows find no room, no later ones of it will.
+  std::set<const targets::Route *> Full;
+  this->Queue.offerAll(Now, [&](admission::HeldOpening &Held) {
+    const targets::Route *Route =
+        this->Operators->Routes->find(Held.Flow.Route);
+    if (!Route) {
+      Out.Resets.push_back({Held.Flow, 0});
+      ++this->Counts.NoRoute;
+      return admission::OfferResult::Placed;
+    }
+    if (Full.contains(Route)) {
+      return admission::OfferResult::NoRoom;
+    }
+    std::span<char> Bytes = Out.keep(Held.Bytes);
+    if (!this->tryPlace(Now, Held.Flow, Bytes, *Route, Out)) {
+      Full.insert(Route);
+      return admission::OfferResult::NoRoom;
+    }
+    Placement &Entry = this->Placements[Held.Flow];
+    Entry.StartedAt = Held.ArrivedAt;
+    return admission::OfferResult::Placed;
+  });
+}
+
+void PacketRouter::refuse(const Packet &Packet, std::string_view Reason,
+                          PacketActions &Out) {
   FlowId Id = Packet.callersFlow();
   this->Placements.erase(Id);
   this->Flows.erase(Id);
@@ -211,6 +298,31 @@
   this->place(Now, Packet, Out);
 }
 
+// What a refusal says of the agent, until its next status.
+void PacketRouter::noteRefusal(AgentIndex Agent, HopTag Reason) {
+  AgentView &View = this->Agents.at(Agent);
+  switch (Reason) {
+  case HopTag::Shed:
+  case HopTag::Full:
+    View.SentSince += View.Status.Slots;
+    break;
+  case HopTag::Cold:
+    View.Status.Budget = 0;
+    break;
+  case HopTag::Draining:
+    View.Status.Condition = wire::AgentCondition::Draining;
+    break;
+  case HopTag::Evacuated:
+    View.Status.Condition = wire::AgentCondition::Evacuated;
+    break;
+  case HopTag::NoUpstream:
+    View.Status.Condition = wire::AgentCondition::NoUpstream;
+    break;
+  default:
+    break;
+  }
+}
+
 // Looking for the holder of a flow.
 
 void PacketRouter::keepPacket(Search &Entry, const Packet &Packet) {
@@ -326,7 +438,9 @@
     this->probeNext(Now, Id, Entry, Out);
     return;
   }
-  bool IsUnknown = AllAnswered && this->StoreAnswers &&
+  // Asked twice, so that what was under way the first time has arrived.
+  bool IsUnknown = AllAnswered && this->HasMembers &&
+                   Now - this->StartedAt >= HearingTime &&
                    Now - Entry.FirstAskedAt >= UnknownDelay;
   if (IsUnknown) {
     Out.Resets.push_back({Id, Entry.LastAcknowledged});
@@ -426,6 +540,10 @@
   if (Status.News.Changed > this->NewsHeard.Changed) {
     this->NewsHeard = Status.News;
   }
+  if (Status.Condition == wire::AgentCondition::InService) {
+    this->ServedAt[Status.Service] = Now;
+  }
+  this->offerHeld(Now, Out);
   if (IsNewRun) {
     this->recall(From, Index, Out);
   }
@@ -497,16 +615,17 @@
 
 void PacketRouter::onTick(base::TimePoint Now, bool StoreAnswers,
                           PacketActions &Out) {
-  this->StoreAnswers = StoreAnswers;
+  this->HasMembers = this->HasMembers || StoreAnswers;
   this->Operators = this->Board.current();
-  this->Agents.tick(Now, StoreAnswers);
+  this->Agents.tick(Now);
   this->expireSearches(Now, Out);
+  this->offerHeld(Now, Out);
   wire::BalancerHello Hello{this->Self.Name,
                             this->Self.Run,
                             {this->Operators->Changed, this->Self.Pages}};
   for (size_t I = 0; I < this->Agents.size(); ++I) {
     AgentView &View = this->Agents.at(static_cast<AgentIndex>(I));
-    if (!View.IsGone && Now - View.HelloAt >= HelloInterval) {
+    if (Now - View.HelloAt >= HelloInterval) {
       View.HelloAt = Now;
       Out.Messages.push_back({View.Control, Hello});
     }
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -13,13 +13,13 @@
 // may be the one, no more than two upstreams are asked.
 //
 // A flow is reset only where its upstream's agent is gone, or where every
-// agent that the store knows has said twice, a while apart, that it isn't
-// there. Silence costs its caller a retransmission; a wrong reset costs the
-// flow.
+// agent that isn't has said twice, a while apart, that it isn't there. Silence
+// costs its caller a retransmission; a wrong reset costs the flow.
 
 #ifndef BILBERRY_ROUTING_PACKET_ROUTER_H
 #define BILBERRY_ROUTING_PACKET_ROUTER_H
 
+#include "bilberry/admission/opening_queue.h"
 #include "bilberry/members/agent_views.h"
 #include "bilberry/packet/packet_actions.h"
 #include "bilberry/routing/upstream_choice.h"
@@ -42,9 +42,13 @@
 /// Wrong upstreams that may be given packets of one flow while an agent is
 /// silent: a third would be one too many.
 inline constexpr uint32_t MaxBlindProbes = 2;
-/// A flow that nobody holds is reset after this time of being asked for: by
-/// then an agent that was just announced has been heard of.
-inline constexpr base::Duration UnknownDelay = std::chrono::seconds(2);
+/// A flow that nobody holds is reset where this was said again after that
+/// time: callers repeat a packet after 200 ms.
+inline constexpr base::Duration UnknownDelay = std::chrono::milliseconds(150);
+/// A balancer that has just started has heard of all living agents after this
+/// time: those announced answer its greeting, and those that knew its earlier
+/// run still tell it how they are.
+inline constexpr base::Duration HearingTime = std::chrono::seconds(1);
 /// How long a search is remembered after its last packet.
 inline constexpr base::Duration SearchLife = std::chrono::seconds(4);
 /// Callers repeat an opening packet within this time.
@@ -55,6 +59,12 @@
 inline constexpr base::Duration DefaultFlowLife = std::chrono::seconds(60);
 /// How long before a closing flow is forgotten.
 inline constexpr base::Duration ClosingLife = std::chrono::seconds(4);
+/// A balancer that has just started may not have heard of every agent; until
+/// then it turns nobody away.
+inline constexpr base::Duration WarmStart = std::chrono::seconds(4);
+/// A service of which no upstream took new flows for this long is down: its
+/// callers are turned away at once.
+inline constexpr base::Duration ServiceOutage = std::chrono::milliseconds(2500);
 /// Agents that an opening packet is offered to at most.
 inline constexpr size_t MaxOffers = 6;
 
@@ -75,6 +85,8 @@
   uint64_t Forwarded = 0;
   uint64_t Returned = 0;
   uint64_t Refused = 0;
+  uint64_t Held = 0;
+  uint64_t GivenUp = 0;
   uint64_t NoRoute = 0;
   uint64_t Searches = 0;
   uint64_t Found = 0;
@@ -88,7 +100,8 @@
 class PacketRouter {
 public:
   /// The board must outlive the router.
-  PacketRouter(BalancerIdentity Self, const targets::OperatorBoard &Board);
+  PacketRouter(BalancerIdentity Self, base::TimePoint StartedAt,
+               const targets::OperatorBoard &Board);
 
   /// A packet from a caller.
   void onCallerPacket(base::TimePoint Now, const packet::Packet &Packet,
@@ -149,12 +162,20 @@
                  packet::PacketActions &Out);
   void place(base::TimePoint Now, const packet::Packet &Packet,
              packet::PacketActions &Out);
-  void refuse(base::TimePoint Now, const packet::Packet &Packet,
-              std::string_view Reason, packet::PacketActions &Out);
+  bool tryPlace(base::TimePoint Now, const packet::FlowId &Id,
+                std::span<char> Bytes, const targets::Route &Route,
+                packet::PacketActions &Out);
+  bool mayWait(base::TimePoint Now, const targets::Route &Route) const;
+  void hold(base::TimePoint Now, const packet::Packet &Packet,
+            const targets::Route *Route, packet::PacketActions &Out);
+  void offerHeld(base::TimePoint Now, packet::PacketActions &Out);
+  void refuse(const packet::Packet &Packet, std::string_view Reason,
+              packet::PacketActions &Out);
   void forward(base::TimePoint Now, const packet::Packet &Packet,
                KnownFlow &Flow, packet::PacketActions &Out);
   void search(base::TimePoint Now, const packet::Packet &Packet,
               packet::PacketActions &Out);
+  void noteRefusal(members::AgentIndex Agent, packet::HopTag Reason);
   void keepPacket(Search &Entry, const packet::Packet &Packet);
   void dropPackets(Search &Entry);
   void conclude(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
@@ -181,16 +202,21 @@
                 members::AgentIndex Holder, bool IsConfirmed);
 
   BalancerIdentity Self;
+  base::TimePoint StartedAt;
   const targets::OperatorBoard &Board;
   std::shared_ptr<const targets::OperatorState> Operators;
   members::AgentViews Agents;
   std::unordered_map<packet::FlowId, KnownFlow> Flows;
   std::unordered_map<packet::FlowId, Placement> Placements;
   std::unordered_map<packet::FlowId, Search> Searches;
+  admission::OpeningQueue Queue;
+  // When an upstream of each service was last open to new flows.
+  std::map<base::ServiceName, base::TimePoint> ServedAt;
   // Flows to ask for at the end of the batch.
   std::vector<packet::FlowId> ToAsk;
   size_t WaitingBytes = 0;
-  bool StoreAnswers = false;
+  // The announcements were read at least once.
+  bool HasMembers = false;
   base::TimePoint NextExpiry;
   wire::NewsMark NewsHeard;
   PacketRouterCounts Counts;
--- a/bilberry/targets/operator_board.cc
+++ b/bilberry/targets/operator_board.cc
@@ -123,10 +123,15 @@
         " reason=\"older than version " + std::to_string(Known) + "\"");
     return;
   }
-  Notes.push_back(
+  std::string Note =
       "event=routes version=" + std::to_string(Parsed.value().Version) +
       " revision=" + std::to_string(Entry.Changed) +
-      " routes=" + std::to_string(Parsed.value().Routes.size()));
+      " routes=" + std::to_string(Parsed.value().Routes.size());
+  for (const auto &[Name, Rule] : Parsed.value().Services) {
+    Note += " cold-per-second-" + Name.text() + "=" +
+            std::to_string(Rule.ColdPerSecond);
+  }
+  Notes.push_back(std::move(Note));
   Next.Routes = std::make_shared<const RouteTable>(std::move(Parsed).value());
 }
 
--- a/bilberry/targets/route_table.h
+++ b/bilberry/targets/route_table.h
@@ -25,6 +25,10 @@
 struct Route {
   /// At least one. Weights say how new flows are spread.
   std::vector<RouteShare> Shares;
+  /// Of the requests inside its flows; 0 is the most important.
+  uint32_t Priority = 0;
+  /// The time in which a request ought to be answered.
+  base::Duration Aim{0};
 
   /// The service for a flow with that hash.
   const base::ServiceName &serviceOf(uint64_t FlowHash) const;
