--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -399,7 +399,10 @@
   Status.DataCentre = this->Self.DataCentre;
   Status.Data = this->Self.Data;
   Status.Working = this->Flows.working();
-  Status.Flows = static_cast<uint32_t>(this->Flows.size());
+  Status.Flows = static_cast<uint32_t>(
+      std::ranges::count_if(this->Flows.all(), [](const auto &Known) {
+        return Known.second.Stage == FlowStage::Open;
+      }));
   Status.KnowsAllFlows = this->knowsAllFlows(Now);
   Status.News = {Call.Operators.Changed, this->Self.Pages};
   if (const auto &Report = this->Upstream.present()) {
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -117,10 +117,7 @@
         break;
       }
     }
-    std::lock_guard Lock(this->Mutex);
-    log::info("event=stopping flows=" + std::to_string(this->Agent.flows()));
-    this->Agent.onStop(this->Node.now(), this->Actions);
-    this->flushLocked();
+    this->stop();
   }
 
 private:
@@ -130,6 +127,24 @@
     runtime::UdpSocket Messages;
   };
 
+  // Beside an upstream that lives on, the announcement stays for the next run.
+  // Otherwise it is withdrawn, so that nobody waits for this agent.
+  void stop() {
+    bool HasUpstream = false;
+    {
+      std::lock_guard Lock(this->Mutex);
+      HasUpstream = this->Agent.upstream().present().has_value();
+      log::info("event=stopping flows=" + std::to_string(this->Agent.flows()) +
+                (HasUpstream ? " upstream=present" : " upstream=gone"));
+      this->Agent.onStop(this->Node.now(), this->Actions);
+      this->flushLocked();
+    }
+    if (!HasUpstream) {
+      this->AnnouncerThread.request_stop();
+      this->AnnouncerThread.join();
+    }
+  }
+
   bool isDraining() const {
     const auto &Report = this->Agent.upstream().present();
     return Report && Report->IsDraining;
--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -52,7 +52,8 @@
       this->place(Index, Value.Data, Value.Control);
     }
     if (!View.IsAnnounced) {
-      View.HeardAt = std::max(View.HeardAt, Now - FreshStatus);
+      View.HeardAt =
+          std::max(View.HeardAt, Now - GoneSilence + IntroductionTime);
       View.IsGone = false;
     }
   }
@@ -89,7 +90,10 @@
     if (WasPaused) {
       View.HeardAt += Gap;
     }
-    View.IsGone = Now - View.HeardAt > GoneSilence;
+    base::Duration Silence = Now - View.HeardAt;
+    bool HasLeft = View.Status.Condition == wire::AgentCondition::Stopping &&
+                   !View.IsAnnounced && Silence > FreshStatus;
+    View.IsGone = Silence > GoneSilence || HasLeft;
   }
 }
 
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -27,6 +27,9 @@
 /// An agent that was silent for this long is gone. Longer than a process takes
 /// to be started again.
 inline constexpr base::Duration GoneSilence = std::chrono::seconds(5);
+/// An announced agent that has never answered within this time of its first
+/// greeting is gone: its announcement only outlives it.
+inline constexpr base::Duration IntroductionTime = std::chrono::seconds(2);
 /// Agents that a balancer knows at most.
 inline constexpr size_t MaxAgents = 4096;
 
--- a/bilberry/routing/upstream_choice.cc
+++ b/bilberry/routing/upstream_choice.cc
@@ -19,11 +19,16 @@
          (IsCold ? ColdLoad : 0);
 }
 
+static bool hasRoom(const AgentView &View) {
+  double Waiting = View.Status.Working + (SentWeight * View.SentSince);
+  return Waiting < MaxWaiting * std::max<uint32_t>(1, View.Status.Slots);
+}
+
 static bool mayTake(const AgentView &View, const ChoiceRequest &Request) {
   return !View.IsGone && View.isHeard() &&
          View.Status.Service == Request.Service &&
          View.Status.Condition == wire::AgentCondition::InService &&
-         View.Status.Budget > View.SentSince;
+         View.Status.Budget > View.SentSince && hasRoom(View);
 }
 
 namespace {
