Let the agent bound waiting flows, and tell of room at once

The agent knows exactly who waits, so it refuses beyond three a slot and tells balancers as soon as there is room.

--- a/bilberry/admission/opening_gate.cc
+++ b/bilberry/admission/opening_gate.cc
@@ -16,6 +16,11 @@
   return It == Services.end() ? nullptr : &It->second;
 }
 
+bool hasRoom(const OpeningContext &Call) {
+  uint32_t Slots = Call.Upstream.present() ? Call.Upstream.present()->Slots : 1;
+  return Call.Waiting < MaxWaitingPerSlot * std::max<uint32_t>(1, Slots);
+}
+
 HopTag OpeningGate::condition(const OpeningContext &Call) {
   bool IsEvacuated = Call.Operators.isEvacuated(this->DataCentre);
   if (this->WasEvacuated && !IsEvacuated) {
@@ -51,7 +56,9 @@
     }
   }
   const targets::ServiceRule *Rule = ruleOf(Call);
-  if (Rule->MaxConnections > 0 && Call.Flows >= Rule->MaxConnections) {
+  bool HasConnections =
+      Rule->MaxConnections == 0 || Call.Flows < Rule->MaxConnections;
+  if (!HasConnections || !hasRoom(Call)) {
     return HopTag::Full;
   }
   return this->budget(Call) > 0 ? HopTag::None : HopTag::Cold;
--- a/bilberry/admission/opening_gate.h
+++ b/bilberry/admission/opening_gate.h
@@ -43,8 +43,17 @@
   const targets::OperatorState &Operators;
   /// Flows held.
   size_t Flows = 0;
+  /// Of these, those that wait for an answer or are about to ask.
+  uint32_t Waiting = 0;
 };
 
+/// An upstream with this many waiting flows a slot gets no more: three
+/// requests' work of waiting is about what the aims leave.
+inline constexpr uint32_t MaxWaitingPerSlot = 3;
+
+/// Whether the upstream's waiting flows leave room for another.
+bool hasRoom(const OpeningContext &Call);
+
 /// Not thread-safe.
 class OpeningGate {
 public:
@@ -60,6 +69,9 @@
                        const packet::HopMark &Mark);
   /// Whether new flows may come at all: None, or the reason why not.
   packet::HopTag condition(const OpeningContext &Call);
+  /// The upstream's very first heartbeat has come: no earlier run of this
+  /// process can have let anything through to it.
+  void noteFirstReport() { this->StartedAt -= ColdWindow; }
   /// An opening packet was given to the upstream.
   void noteOpened(base::TimePoint Now);
   /// Any packet was given to the upstream, and it owes a word.
@@ -69,9 +81,12 @@
   /// How many more openings may come in this second.
   uint32_t budget(const OpeningContext &Call) const;
 
+  /// Opening packets given to the upstream since Begin, of the last
+  /// MaxCountedOpenings.
+  uint32_t openingsSince(base::TimePoint Begin) const;
+
 private:
   bool isCold(const OpeningContext &Call) const;
-  uint32_t openingsSince(base::TimePoint Begin) const;
   uint32_t allowance(const OpeningContext &Call) const;
 
   base::DataCentreName DataCentre;
--- a/bilberry/admission/opening_queue.h
+++ b/bilberry/admission/opening_queue.h
@@ -24,9 +24,10 @@
 
 namespace bilberry::admission {
 
-/// Callers give an opening packet up after this time.
+/// Callers give an opening packet up after 1.4 s; one that is placed later
+/// than this finds its caller gone by the time of the answer.
 inline constexpr base::Duration OpeningPatience =
-    std::chrono::milliseconds(1400);
+    std::chrono::milliseconds(1350);
 /// Opening packets that one balancer keeps: two seconds of the new flows of
 /// the largest deployment, spread over its balancers.
 inline constexpr size_t MaxHeldOpenings = 4096;
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -16,6 +16,9 @@
 static constexpr uint64_t FirstReports = 2;
 // Copies of an opening packet come within 600 ms of the first.
 static constexpr base::Duration CopyLife = std::chrono::milliseconds(1500);
+// A caller that is there sends its request within this time of the opening:
+// two ways to it and back, with room.
+static constexpr base::Duration AskDelay = std::chrono::milliseconds(50);
 // An upstream on the same machine gives a packet back within this time.
 static constexpr base::Duration ProbeDelay = std::chrono::milliseconds(50);
 
@@ -28,7 +31,16 @@
 
 admission::OpeningContext PacketAgent::contextOf(base::TimePoint Now) {
   this->Operators = this->Board.current();
-  return {Now, this->Upstream, *this->Operators, this->Flows.size()};
+  return {Now, this->Upstream, *this->Operators, this->Flows.size(),
+          this->waiting(Now)};
+}
+
+// Flows that wait for an answer or will soon ask. A caller that doesn't
+// complete an opening at once has mostly given it up.
+uint32_t PacketAgent::waiting(base::TimePoint Now) const {
+  return this->Flows.working() +
+         std::min(this->Flows.inStage(FlowStage::Opening),
+                  this->Gate.openingsSince(Now - AskDelay));
 }
 
 // Callers' packets.
@@ -74,6 +86,7 @@
     Out.Decisions.push_back({"flow-returned", Id, From,
                              packet::hopTagText(Reason),
                              Packet.Mark.RouteVersion});
+    this->ToldRoom = false;
     this->giveBack(From, Packet, Reason, Out);
     return;
   }
@@ -91,7 +104,7 @@
 // Whether a packet that isn't an opening one is of this flow as our upstream
 // holds it. A caller whose opening packet reached two upstreams acknowledges
 // the sequence number of one.
-bool PacketAgent::belongsHere(HeldFlow &Flow, const Packet &Packet) const {
+bool PacketAgent::belongsHere(HeldFlow &Flow, const Packet &Packet) {
   if (Flow.Stage == FlowStage::Absent) {
     return false;
   }
@@ -101,7 +114,7 @@
   bool IsOurs = Flow.IsAnswered && routing::acknowledges(Packet.Acknowledged,
                                                          Flow.UpstreamSequence);
   if (IsOurs) {
-    Flow.Stage = FlowStage::Open;
+    this->Flows.setStage(Flow, FlowStage::Open);
   }
   return IsOurs;
 }
@@ -115,7 +128,7 @@
     Flow.CallerAcknowledged = Packet.Acknowledged;
   }
   if (Packet.DataBytes > 0 && Flow.Stage == FlowStage::Open) {
-    this->Flows.setWorking(Flow, true);
+    this->Flows.noteCallerData(Flow, Packet);
     this->Gate.noteAsked(Now);
   }
   this->Flows.noteEnd(Flow, Packet, true);
@@ -149,7 +162,7 @@
     return;
   }
   Flow.IsProbe = false;
-  Flow.Stage = FlowStage::Open;
+  this->Flows.setStage(Flow, FlowStage::Open);
   this->deliver(Now, From, Packet, Flow, Out);
 }
 
@@ -186,10 +199,11 @@
     Flow->IsAnswered = true;
     Flow->UpstreamSequence = Packet.Sequence;
   } else if (Flow->Stage == FlowStage::Opening) {
-    Flow->Stage = FlowStage::Open;
+    this->Flows.setStage(*Flow, FlowStage::Open);
   }
   if (Packet.DataBytes > 0) {
     this->Flows.setWorking(*Flow, false);
+    this->tellRoom(Now, Out);
   }
   this->Flows.noteEnd(*Flow, Packet, false);
   ++this->Counts.ToCallers;
@@ -234,7 +248,7 @@
     this->Ended.push_back(Id);
   }
   this->Flows.setWorking(Flow, false);
-  Flow.Stage = FlowStage::Ending;
+  this->Flows.setStage(Flow, FlowStage::Ending);
   Flow.LastPacket = Now;
 }
 
@@ -270,6 +284,9 @@
       this->resetFlowsBefore(Now, LastHeard, "its upstream was restarted", Out);
     }
     this->SawUpstreamStart = HadRun || Report.Sequence <= FirstReports;
+    if (Report.Sequence <= 1) {
+      this->Gate.noteFirstReport();
+    }
     this->LeftAt.reset();
     break;
   case members::ReportOutcome::Known:
@@ -398,11 +415,8 @@
   Status.Run = this->Self.Run;
   Status.DataCentre = this->Self.DataCentre;
   Status.Data = this->Self.Data;
-  Status.Working = this->Flows.working();
-  Status.Flows = static_cast<uint32_t>(
-      std::ranges::count_if(this->Flows.all(), [](const auto &Known) {
-        return Known.second.Stage == FlowStage::Open;
-      }));
+  Status.Working = this->waiting(Now);
+  Status.Flows = this->Flows.inStage(FlowStage::Open);
   Status.KnowsAllFlows = this->knowsAllFlows(Now);
   Status.News = {Call.Operators.Changed, this->Self.Pages};
   if (const auto &Report = this->Upstream.present()) {
@@ -445,6 +459,8 @@
   wire::AgentStatus Status = this->status(Now);
   this->ToldCondition = Status.Condition;
   this->NextStatus = Now + StatusInterval;
+  this->ToldAt = Now;
+  this->ToldRoom = true;
   do {
     auto Move = [](std::vector<FlowId> &From, std::vector<FlowId> &To) {
       size_t Count = std::min(From.size(), wire::MaxFlowsPerMessage / 2);
@@ -459,6 +475,19 @@
   } while (!this->Opened.empty() || !this->Ended.empty());
 }
 
+// Balancers that were refused hold flows back until they hear of room.
+void PacketAgent::tellRoom(base::TimePoint Now, PacketActions &Out) {
+  if (this->ToldRoom || Now - this->ToldAt < MinStatusInterval) {
+    return;
+  }
+  admission::OpeningContext Call = this->contextOf(Now);
+  bool HasRoom = this->Gate.condition(Call) == HopTag::None &&
+                 this->Gate.budget(Call) > 0 && admission::hasRoom(Call);
+  if (HasRoom) {
+    this->tellAll(Now, Out);
+  }
+}
+
 void PacketAgent::onStop(base::TimePoint Now, PacketActions &Out) {
   this->IsStopping = true;
   this->publishOpened(Now, base::Duration(0));
@@ -470,6 +499,7 @@
     this->resetFlowsBefore(Now, *this->LeftAt, "its upstream has left", Out);
     this->LeftAt.reset();
   }
+  this->tellRoom(Now, Out);
   if (Now < this->NextStatus) {
     return;
   }
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -27,6 +27,10 @@
 
 /// How often each balancer is told how this agent is.
 inline constexpr base::Duration StatusInterval = std::chrono::milliseconds(250);
+/// The shortest time between two statuses that tell of room: about the work
+/// of one short request.
+inline constexpr base::Duration MinStatusInterval =
+    std::chrono::milliseconds(20);
 /// A balancer that hasn't been heard of for this long is told no more. Longer
 /// than an outage in which a restarted balancer can learn of agents only from
 /// the agents themselves.
@@ -108,7 +112,8 @@
   admission::OpeningContext contextOf(base::TimePoint Now);
   void onOpening(base::TimePoint Now, const base::Address &From,
                  const packet::Packet &Packet, packet::PacketActions &Out);
-  bool belongsHere(routing::HeldFlow &Flow, const packet::Packet &Packet) const;
+  uint32_t waiting(base::TimePoint Now) const;
+  bool belongsHere(routing::HeldFlow &Flow, const packet::Packet &Packet);
   void deliver(base::TimePoint Now, const base::Address &From,
                const packet::Packet &Packet, routing::HeldFlow &Flow,
                packet::PacketActions &Out);
@@ -135,6 +140,7 @@
                const wire::HolderQuery &Query, packet::PacketActions &Out);
   wire::AgentStatus status(base::TimePoint Now);
   void publishOpened(base::TimePoint Now, base::Duration MinAge);
+  void tellRoom(base::TimePoint Now, packet::PacketActions &Out);
   void tellAll(base::TimePoint Now, packet::PacketActions &Out);
 
   AgentIdentity Self;
@@ -149,6 +155,8 @@
   std::vector<packet::FlowId> Ended;
   base::TimePoint NextStatus;
   base::TimePoint ToldAt;
+  // False where a packet was refused for want of room since the last status.
+  bool ToldRoom = true;
   wire::AgentCondition ToldCondition = wire::AgentCondition::NoUpstream;
   std::optional<base::TimePoint> LeftAt;
   // The upstream's present run began while this process was there.
--- a/bilberry/routing/held_flows.cc
+++ b/bilberry/routing/held_flows.cc
@@ -4,13 +4,27 @@
 
 HeldFlow &HeldFlows::start(base::TimePoint Now, const packet::FlowId &Flow,
                            FlowStage Stage) {
-  HeldFlow &Entry = this->Flows[Flow];
-  this->setWorking(Entry, false);
-  Entry = HeldFlow();
-  Entry.Stage = Stage;
-  Entry.OpenedAt = Now;
-  Entry.LastPacket = Now;
-  return Entry;
+  auto [It, IsNew] = this->Flows.try_emplace(Flow);
+  if (!IsNew) {
+    this->forget(It->second);
+    It->second = HeldFlow();
+  }
+  It->second.Stage = Stage;
+  It->second.OpenedAt = Now;
+  It->second.LastPacket = Now;
+  ++this->Stages[static_cast<size_t>(Stage)];
+  return It->second;
+}
+
+void HeldFlows::setStage(HeldFlow &Flow, FlowStage Stage) {
+  --this->Stages[static_cast<size_t>(Flow.Stage)];
+  ++this->Stages[static_cast<size_t>(Stage)];
+  Flow.Stage = Stage;
+}
+
+void HeldFlows::forget(HeldFlow &Flow) {
+  this->setWorking(Flow, false);
+  --this->Stages[static_cast<size_t>(Flow.Stage)];
 }
 
 base::Duration HeldFlows::life(FlowStage Stage, base::Duration IdleLife) {
@@ -30,7 +44,7 @@
 void HeldFlows::erase(const packet::FlowId &Flow) {
   auto It = this->Flows.find(Flow);
   if (It != this->Flows.end()) {
-    this->setWorking(It->second, false);
+    this->forget(It->second);
     this->Flows.erase(It);
   }
 }
@@ -42,6 +56,17 @@
   }
 }
 
+void HeldFlows::noteCallerData(HeldFlow &Flow, const packet::Packet &Packet) {
+  uint32_t End = Packet.Sequence + Packet.DataBytes;
+  bool IsNew =
+      !Flow.HasCallerData || static_cast<int32_t>(End - Flow.CallerEnd) > 0;
+  if (IsNew) {
+    Flow.HasCallerData = true;
+    Flow.CallerEnd = End;
+    this->setWorking(Flow, true);
+  }
+}
+
 void HeldFlows::noteEnd(HeldFlow &Flow, const packet::Packet &Packet,
                         bool ByCaller) {
   if (Packet.IsFin) {
@@ -49,7 +74,7 @@
   }
   bool IsOver = Flow.CallerIsDone && Flow.UpstreamIsDone;
   if (Packet.IsReset || IsOver) {
-    Flow.Stage = FlowStage::Ending;
+    this->setStage(Flow, FlowStage::Ending);
     this->setWorking(Flow, false);
   }
 }
--- a/bilberry/routing/held_flows.h
+++ b/bilberry/routing/held_flows.h
@@ -8,6 +8,7 @@
 #include "bilberry/base/clock.h"
 #include "bilberry/packet/packet.h"
 
+#include <array>
 #include <unordered_map>
 
 namespace bilberry::routing {
@@ -25,6 +26,8 @@
   Absent,
 };
 
+inline constexpr size_t FlowStages = 4;
+
 struct HeldFlow {
   FlowStage Stage = FlowStage::Opening;
   /// The caller's last data waits for an answer.
@@ -38,6 +41,9 @@
   /// The upstream was given a packet to find out whether it holds the flow.
   bool IsProbe = false;
   uint32_t UpstreamSequence = 0;
+  /// The sequence number after the caller's last byte, once it has sent any.
+  uint32_t CallerEnd = 0;
+  bool HasCallerData = false;
   /// The caller's last acknowledgement; a reset must lie near it.
   uint32_t CallerAcknowledged = 0;
   /// The balancer that sent the last packet.
@@ -48,7 +54,7 @@
 
 /// How long an opening that nobody completes is kept: callers give up after
 /// 1.4 s.
-inline constexpr base::Duration OpeningLife = std::chrono::seconds(3);
+inline constexpr base::Duration OpeningLife = std::chrono::milliseconds(1500);
 /// How long an ended flow is kept for late packets: longer than the longest
 /// interval between two retransmissions.
 inline constexpr base::Duration EndingLife = std::chrono::seconds(4);
@@ -71,8 +77,13 @@
   HeldFlow &start(base::TimePoint Now, const packet::FlowId &Flow,
                   FlowStage Stage);
   void erase(const packet::FlowId &Flow);
+  /// Sets the stage. Stages are counted, so nothing else may change one.
+  void setStage(HeldFlow &Flow, FlowStage Stage);
   /// Sets whether the flow waits for an answer.
   void setWorking(HeldFlow &Flow, bool IsWorking);
+  /// Notes data from the caller. A repeated packet asks for nothing new, and
+  /// its answer may have been given.
+  void noteCallerData(HeldFlow &Flow, const packet::Packet &Packet);
   /// Notes the end of one direction, or of both.
   void noteEnd(HeldFlow &Flow, const packet::Packet &Packet, bool ByCaller);
 
@@ -85,29 +96,31 @@
         ++It;
         continue;
       }
-      this->setWorking(It->second, false);
+      this->forget(It->second);
       OnErased(It->first, It->second);
       It = this->Flows.erase(It);
     }
   }
 
-  /// Forgets all; for an upstream that was lost.
-  void clear() {
-    this->Flows.clear();
-    this->Working = 0;
-  }
-
   const Map &all() const { return this->Flows; }
   Map &all() { return this->Flows; }
   size_t size() const { return this->Flows.size(); }
   /// Flows whose caller waits for an answer.
   uint32_t working() const { return this->Working; }
+  /// Flows in that stage.
+  uint32_t inStage(FlowStage Stage) const {
+    return this->Stages[static_cast<size_t>(Stage)];
+  }
 
 private:
   static base::Duration life(FlowStage Stage, base::Duration IdleLife);
 
+  // Takes the flow out of the counts.
+  void forget(HeldFlow &Flow);
+
   Map Flows;
   uint32_t Working = 0;
+  std::array<uint32_t, FlowStages> Stages{};
 };
 
 /// True where a caller's acknowledgement can be of a flow whose upstream began
--- a/bilberry/routing/upstream_choice.cc
+++ b/bilberry/routing/upstream_choice.cc
@@ -1,5 +1,7 @@
 #include "bilberry/routing/upstream_choice.h"
 
+#include "bilberry/admission/opening_gate.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -21,7 +23,8 @@
 
 static bool hasRoom(const AgentView &View) {
   double Waiting = View.Status.Working + (SentWeight * View.SentSince);
-  return Waiting < MaxWaiting * std::max<uint32_t>(1, View.Status.Slots);
+  return Waiting < static_cast<double>(admission::MaxWaitingPerSlot) *
+                       std::max<uint32_t>(1, View.Status.Slots);
 }
 
 static bool mayTake(const AgentView &View, const ChoiceRequest &Request) {
--- a/bilberry/routing/upstream_choice.h
+++ b/bilberry/routing/upstream_choice.h
@@ -21,9 +21,7 @@
 inline constexpr double IdleFlowWeight = 0.05;
 /// Above this many waiting flows a slot, an upstream elsewhere is looked at.
 inline constexpr double BusyLoad = 1.0;
-/// An upstream with this many flows a slot that wait for an answer gets no
-/// more: three requests' work of waiting is about what the aims leave.
-inline constexpr double MaxWaiting = 3.0;
+
 /// What a flow sent since the last status weighs in that: by the time of the
 /// next status most have been answered.
 inline constexpr double SentWeight = 0.25;
