End flows that are given up at the upstream too

Ruled out: the backlog in the socket (the fence drops it), a limit that fell late (the limit never rises above what completions have proven).

An agent that relays packets takes nothing new after a pause of a second until its upstream's next heartbeat; the upstream may have been replaced meanwhile.

--- a/bilberry/admission/opening_gate.cc
+++ b/bilberry/admission/opening_gate.cc
@@ -29,7 +29,9 @@
   this->WasEvacuated = IsEvacuated;
   bool IsSilent = this->AskedAt && Call.Now - *this->AskedAt > MaxAnswerDelay &&
                   Call.Upstream.heardAt() <= *this->AskedAt;
-  if (!Call.Upstream.isHeard(Call.Now) || IsSilent || !ruleOf(Call)) {
+  bool IsHeard = Call.Upstream.isHeard(Call.Now) &&
+                 Call.Upstream.heardAt() >= this->PausedUntil;
+  if (!IsHeard || IsSilent || !ruleOf(Call)) {
     return HopTag::NoUpstream;
   }
   if (Call.Upstream.present()->IsDraining) {
--- a/bilberry/admission/opening_gate.h
+++ b/bilberry/admission/opening_gate.h
@@ -69,6 +69,9 @@
                        const packet::HopMark &Mark);
   /// Whether new flows may come at all: None, or the reason why not.
   packet::HopTag condition(const OpeningContext &Call);
+  /// This process stood still until now: what it knows of the upstream is as
+  /// old as the pause, until its next heartbeat.
+  void notePause(base::TimePoint Now) { this->PausedUntil = Now; }
   /// The upstream's very first heartbeat has come: no earlier run of this
   /// process can have let anything through to it.
   void noteFirstReport() { this->StartedAt -= ColdWindow; }
@@ -98,6 +101,7 @@
   bool WasEvacuated = false;
   base::TimePoint ReturnedAt;
   std::optional<base::TimePoint> AskedAt;
+  base::TimePoint PausedUntil;
 };
 
 } // namespace bilberry::admission
--- a/bilberry/agent/agent_core_impl.h
+++ b/bilberry/agent/agent_core_impl.h
@@ -345,6 +345,10 @@
   if (auto *Deliver = std::get_if<board::DeliverPacket>(&Action)) {
     // A packet that finds the link down is lost; its caller sends it again.
     (void)this->Out.toUpstream(Deliver->Packet);
+  } else if (auto *Abort = std::get_if<board::AbortOnUpstream>(&Action)) {
+    // One that finds the link down is needless: the upstream lost its flows,
+    // or ends them when they have been idle for long.
+    (void)this->Out.toUpstream(wire::UpstreamFlowAbort{Abort->Key});
   } else if (auto *Start = std::get_if<board::RunOnUpstream>(&Action)) {
     this->run(Now, *Start, More);
   } else if (auto *Cancel = std::get_if<board::CancelOnUpstream>(&Action)) {
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -27,9 +27,10 @@
                          const targets::OperatorBoard &Board)
     : Self(std::move(Self)), StartedAt(StartedAt), Board(Board),
       Operators(Board.current()), Gate(this->Self.DataCentre, Cold, StartedAt),
-      NextStatus(StartedAt) {}
+      NextStatus(StartedAt), SeenAt(StartedAt) {}
 
 admission::OpeningContext PacketAgent::contextOf(base::TimePoint Now) {
+  this->checkPause(Now);
   this->Operators = this->Board.current();
   return {Now, this->Upstream, *this->Operators, this->Flows.size(),
           this->waiting(Now)};
@@ -43,6 +44,14 @@
                   this->Gate.openingsSince(Now - AskDelay));
 }
 
+// Ticks come far more often than MaxPause, so a gap is a pause of the process.
+void PacketAgent::checkPause(base::TimePoint Now) {
+  if (Now - this->SeenAt > MaxPause) {
+    this->Gate.notePause(Now);
+  }
+  this->SeenAt = Now;
+}
+
 // Callers' packets.
 
 void PacketAgent::onCallerPacket(base::TimePoint Now, const base::Address &From,
@@ -270,6 +279,7 @@
 PacketAgent::onReport(base::TimePoint Now,
                       const members::UpstreamReport &Report,
                       PacketActions &Out) {
+  this->checkPause(Now);
   bool HadRun = this->Upstream.present().has_value();
   base::TimePoint LastHeard = this->Upstream.heardAt();
   members::ReportOutcome Outcome = this->Upstream.take(Now, Report);
@@ -495,6 +505,7 @@
 }
 
 void PacketAgent::onTick(base::TimePoint Now, PacketActions &Out) {
+  this->checkPause(Now);
   if (this->LeftAt && Now - *this->LeftAt > LeaveDelay) {
     this->resetFlowsBefore(Now, *this->LeftAt, "its upstream has left", Out);
     this->LeftAt.reset();
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -41,6 +41,10 @@
 /// How long after the upstream took its leave its flows are reset: it ends a
 /// moment after it says so.
 inline constexpr base::Duration LeaveDelay = std::chrono::seconds(1);
+/// A gap between two looks at the clock that is longer than this is a pause of
+/// the process or the machine. Ticks come every 50 ms; an upstream can be
+/// replaced in about a second.
+inline constexpr base::Duration MaxPause = std::chrono::seconds(1);
 /// Longest silence of an open flow where the routes don't tell.
 inline constexpr base::Duration DefaultIdleLife = std::chrono::seconds(60);
 
@@ -110,6 +114,7 @@
   };
 
   admission::OpeningContext contextOf(base::TimePoint Now);
+  void checkPause(base::TimePoint Now);
   void onOpening(base::TimePoint Now, const base::Address &From,
                  const packet::Packet &Packet, packet::PacketActions &Out);
   uint32_t waiting(base::TimePoint Now) const;
@@ -154,6 +159,7 @@
   std::vector<packet::FlowId> Opened;
   std::vector<packet::FlowId> Ended;
   base::TimePoint NextStatus;
+  base::TimePoint SeenAt;
   base::TimePoint ToldAt;
   // False where a packet was refused for want of room since the last status.
   bool ToldRoom = true;
--- a/bilberry/board/agent_action.h
+++ b/bilberry/board/agent_action.h
@@ -35,6 +35,11 @@
   base::RequestId Id;
   uint32_t Attempt = 0;
 };
+/// Tell our own upstream that a flow is over, though its caller hasn't closed
+/// it.
+struct AbortOnUpstream {
+  base::FlowKey Key;
+};
 /// Send a packet of a flow to its caller.
 struct ReplyToFlow {
   base::Address Caller;
@@ -104,9 +109,9 @@
 };
 
 using AgentAction =
-    std::variant<DeliverPacket, RunOnUpstream, CancelOnUpstream, ReplyToFlow,
-                 ReplyToRequest, ForwardPacket, HintBalancer, SendPeer,
-                 SwapShard, LogDecision>;
+    std::variant<DeliverPacket, RunOnUpstream, CancelOnUpstream,
+                 AbortOnUpstream, ReplyToFlow, ReplyToRequest, ForwardPacket,
+                 HintBalancer, SendPeer, SwapShard, LogDecision>;
 using AgentActions = std::vector<AgentAction>;
 
 } // namespace bilberry::board
--- a/bilberry/routing/flow_controller.cc
+++ b/bilberry/routing/flow_controller.cc
@@ -101,7 +101,7 @@
   }
   if (CarriedFlow *Flow = this->Flows.find(Packet.Key)) {
     if (Call.isFenced()) {
-      this->endFlow(Call, Packet.Key, wire::FlowEvent::Reset, FencedReason);
+      this->giveUp(Call, Packet.Key, FencedReason);
     } else {
       this->deliver(Call, Packet, *Flow);
     }
@@ -267,6 +267,14 @@
 
 // Drops a carried flow, gives its connection back, and tells the caller unless
 // the upstream's own answer has just done so.
+// Resets a flow that the upstream still holds. Without a word to it, the
+// connection would be free here and taken there.
+void FlowController::giveUp(const Context &Call, const base::FlowKey &Key,
+                            const std::string &Reason) {
+  Call.Out.emplace_back(board::AbortOnUpstream{Key});
+  this->endFlow(Call, Key, wire::FlowEvent::Reset, Reason);
+}
+
 void FlowController::endFlow(const Context &Call, const base::FlowKey &Key,
                              wire::FlowEvent Event, const std::string &Reason) {
   auto Node = this->Flows.Carried.extract(Key);
@@ -402,7 +410,7 @@
   for (const base::FlowKey &Key : carriedKeys(this->Flows)) {
     if (Call.isFenced()) {
       ++this->Counts.Fenced;
-      this->endFlow(Call, Key, wire::FlowEvent::Reset, FencedReason);
+      this->giveUp(Call, Key, FencedReason);
       continue;
     }
     const CarriedFlow &Flow = this->Flows.Carried.at(Key);
@@ -410,7 +418,7 @@
         longestFlow(*Call.Document, this->Flows.className(Flow.Class));
     const char *Reason = overdueReason(Call.Now, Flow, Longest, IsDraining);
     if (Reason != nullptr) {
-      this->endFlow(Call, Key, wire::FlowEvent::Reset, Reason);
+      this->giveUp(Call, Key, Reason);
     }
   }
 }
--- a/bilberry/routing/flow_controller.h
+++ b/bilberry/routing/flow_controller.h
@@ -171,6 +171,8 @@
   void onOpened(const Context &Call, CarriedFlow &Flow);
   void endFlow(const Context &Call, const base::FlowKey &Key,
                wire::FlowEvent Event, const std::string &Reason);
+  void giveUp(const Context &Call, const base::FlowKey &Key,
+              const std::string &Reason);
   void giveBackConnection(const Context &Call, const CarriedFlow &Flow,
                           admission::Completion How);
   void flushDrops(const Context &Call);
--- a/bilberry/standin/upstream_model.cc
+++ b/bilberry/standin/upstream_model.cc
@@ -43,7 +43,10 @@
                               UpstreamOutputs &Out) {
   auto Second =
       std::chrono::floor<std::chrono::seconds>(Now.time_since_epoch());
-  if (!std::holds_alternative<wire::UpstreamHealthQuery>(Message)) {
+  bool BringsWork =
+      !std::holds_alternative<wire::UpstreamHealthQuery>(Message) &&
+      !std::holds_alternative<wire::UpstreamFlowAbort>(Message);
+  if (BringsWork) {
     ++this->Ledger.ArrivalsPerSecond[Second.count()];
   }
   std::visit([&](const auto &Item) { this->handle(Now, Link, Item, Out); },
@@ -111,6 +114,12 @@
       wire::UpstreamRefused{Cancel.MessageId, wire::UpstreamRefusal::Failed});
 }
 
+void UpstreamModel::handle(base::TimePoint, LinkId,
+                           const wire::UpstreamFlowAbort &Abort,
+                           UpstreamOutputs &) {
+  this->Flows.erase(Abort.Key);
+}
+
 void UpstreamModel::handle(base::TimePoint Now, LinkId Link,
                            const wire::UpstreamFlowPacket &Packet,
                            UpstreamOutputs &Out) {
--- a/bilberry/standin/upstream_model.h
+++ b/bilberry/standin/upstream_model.h
@@ -78,7 +78,8 @@
   uint64_t StrayPackets = 0;
   /// Bodies that name another service.
   uint64_t WrongService = 0;
-  /// Messages that callers caused, so all but health queries, in each second
+  /// Messages that bring callers' work, so all but health queries and aborted
+  /// flows, in each second
   /// since the Unix epoch.
   std::map<int64_t, uint64_t> ArrivalsPerSecond;
 };
@@ -159,6 +160,8 @@
               const wire::UpstreamFlowPacket &Packet, UpstreamOutputs &Out);
   void handle(base::TimePoint Now, LinkId Link,
               const wire::UpstreamCancel &Cancel, UpstreamOutputs &Out);
+  void handle(base::TimePoint Now, LinkId Link,
+              const wire::UpstreamFlowAbort &Abort, UpstreamOutputs &Out);
 
   std::optional<wire::UpstreamRefusal> refusalOf(base::TimePoint Now,
                                                  const wire::UpstreamRun &Run);
--- a/bilberry/testing/flow_controller_test.cc
+++ b/bilberry/testing/flow_controller_test.cc
@@ -1,6 +1,7 @@
 // Decisions of one agent that the network test leaves out: other services,
 // data centres out of service, limits, timeouts and restarts.
 
+#include "bilberry/standin/upstream_model.h"
 #include "bilberry/testing/flow_network.h"
 
 #include <gtest/gtest.h>
@@ -286,6 +287,56 @@
   EXPECT_EQ(Setup.Flows.carried(), 0U);
 }
 
+// Hands an agent's actions to its upstream, and the answers back.
+void exchange(Bench &Setup, standin::UpstreamModel &Upstream,
+              const AgentActions &Actions) {
+  constexpr standin::LinkId Link = 1;
+  standin::UpstreamOutputs Answers;
+  for (const board::AgentAction &Action : Actions) {
+    if (const auto *Deliver = std::get_if<board::DeliverPacket>(&Action)) {
+      Upstream.onMessage(Setup.Now, Link, Deliver->Packet, Answers);
+    } else if (const auto *Abort =
+                   std::get_if<board::AbortOnUpstream>(&Action)) {
+      Upstream.onMessage(Setup.Now, Link, wire::UpstreamFlowAbort{Abort->Key},
+                         Answers);
+    }
+  }
+  for (const standin::UpstreamOutput &Answer : Answers) {
+    AgentActions Ignored;
+    Setup.Flows.onUpstreamEvent(
+        Setup.Now, std::get<wire::UpstreamFlowEvent>(Answer.Message), Ignored);
+  }
+}
+
+// A data centre goes out and in again: the flows that were given up must not
+// stay open at the upstream, or those that come next are more than it bears.
+TEST(FlowController, FlowsGivenUpLeaveTheUpstream) {
+  Bench Setup;
+  standin::UpstreamRule Rule;
+  Rule.Service = Rounds;
+  Rule.Capacity = {2, 2, 2, 2, 10, std::chrono::seconds(1)};
+  standin::UpstreamModel Upstream(Rule);
+  Upstream.onLink(1);
+  Setup.Limits.setReachable(true);
+  for (uint64_t Round = 0; Round < 3; ++Round) {
+    uint64_t First = Setup.connectionOf(0) + (1000 * Round);
+    exchange(Setup, Upstream, Setup.packet(First, wire::FlowOpen, 1));
+    exchange(Setup, Upstream, Setup.packet(First + 1, wire::FlowOpen, 1));
+    EXPECT_EQ(Setup.Flows.carried(), 2U);
+    Setup.Targets.advance(
+        flowTargets(2 + (2 * Round), {flowAgent(0).DataCentre}), "");
+    Setup.Members.setOutOfService({flowAgent(0).DataCentre});
+    exchange(Setup, Upstream, Setup.tick(std::chrono::seconds(1)));
+    EXPECT_EQ(Upstream.flowsOpen(), 0U);
+    Setup.Targets.advance(flowTargets(3 + (2 * Round)), "");
+    Setup.Members.setOutOfService({});
+    // The view's change is noted first; flows are claimed until it settles.
+    Setup.tick(std::chrono::seconds(0));
+    Setup.tick(routing::OpenSettleTime);
+  }
+  EXPECT_EQ(Upstream.ledger().Overruns, 0U);
+}
+
 TEST(FlowController, DataCentreOutOfServiceResetsAndPassesOn) {
   Bench Setup;
   uint64_t Carried = Setup.carriedConnection();
--- a/bilberry/testing/upstream_message_test.cc
+++ b/bilberry/testing/upstream_message_test.cc
@@ -21,7 +21,9 @@
   return {UpstreamRun{3, Class, Id, Deadline, binaryBody()},
           UpstreamHealthQuery{4},
           UpstreamFlowPacket{Class, Key, FlowOpen, 9, binaryBody()},
-          UpstreamCancel{5}, UpstreamFlowPacket{Class, Key, FlowClose, 10, ""}};
+          UpstreamCancel{5},
+          UpstreamFlowAbort{Key},
+          UpstreamFlowPacket{Class, Key, FlowClose, 10, ""}};
 }
 
 std::vector<FromUpstream> allFromUpstream() {
--- a/bilberry/wire/upstream_message.cc
+++ b/bilberry/wire/upstream_message.cc
@@ -12,6 +12,7 @@
 static constexpr std::string_view HealthMethod = "health";
 static constexpr std::string_view FlowMethod = "flow";
 static constexpr std::string_view CancelMethod = "cancel";
+static constexpr std::string_view FlowAbortMethod = "flow-abort";
 static constexpr std::string_view DrainingMethod = "draining";
 
 // The words of UpstreamRefusal, in its order.
@@ -89,6 +90,13 @@
   Out.pack(Message.MessageId);
 }
 
+static void packMessage(MessagePacker &Out, const UpstreamFlowAbort &Message) {
+  packNotificationHead(Out, FlowAbortMethod);
+  Out.pack_array(2);
+  Out.pack(Message.Key.High);
+  Out.pack(Message.Key.Low);
+}
+
 static void packMessage(MessagePacker &Out, const UpstreamDone &Message) {
   packResponseHead(Out, Message.MessageId);
   Out.pack_nil();
@@ -171,6 +179,15 @@
   return Message;
 }
 
+static UpstreamFlowAbort readFlowAbort(const msgpack::object &Params) {
+  ElementReader Reader(Params);
+  UpstreamFlowAbort Message;
+  Message.Key.High = Reader.as<uint64_t>();
+  Message.Key.Low = Reader.as<uint64_t>();
+  Reader.finish();
+  return Message;
+}
+
 static void readMessage(const msgpack::object &Object, ToUpstream &Message) {
   ElementReader Reader(Object);
   auto Type = Reader.as<uint32_t>();
@@ -201,6 +218,10 @@
       Message = readCancel(Params);
       return;
     }
+    if (Method == FlowAbortMethod) {
+      Message = readFlowAbort(Params);
+      return;
+    }
   }
   throw msgpack::type_error();
 }
--- a/bilberry/wire/upstream_message.h
+++ b/bilberry/wire/upstream_message.h
@@ -52,8 +52,14 @@
 struct UpstreamCancel {
   uint32_t MessageId = 0;
 };
-using ToUpstream = std::variant<UpstreamRun, UpstreamHealthQuery,
-                                UpstreamFlowPacket, UpstreamCancel>;
+/// A flow is over though its caller hasn't closed it: it was reset. The
+/// upstream may forget it; nothing is answered.
+struct UpstreamFlowAbort {
+  base::FlowKey Key;
+};
+using ToUpstream =
+    std::variant<UpstreamRun, UpstreamHealthQuery, UpstreamFlowPacket,
+                 UpstreamCancel, UpstreamFlowAbort>;
 
 /// Why an upstream didn't run a request. Every word but Failed means that
 /// nothing of it ran.
