--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -150,51 +150,29 @@
     return Report && Report->IsDraining;
   }
 
-  template <typename Handler>
-  void readPackets(const runtime::UdpSocket &Socket, Handler OnPacket) {
-    node::readSocket(
-        Socket,
-        [&](const base::Address &From, std::span<char> Bytes) {
-          std::optional<packet::Packet> Packet = Format::parse(Bytes);
-          if (!Packet) {
-            this->Node.logFault(this->Node.now(),
-                                "packet from=" + base::addressText(From));
-            return;
-          }
-          std::lock_guard Lock(this->Mutex);
-          OnPacket(From, *Packet);
+  void readCallers() {
+    this->Node.template readPackets<Format>(
+        this->Sockets->Callers, this->Mutex,
+        [this](const base::Address &From, const packet::Packet &P) {
+          this->Agent.onCallerPacket(this->Node.now(), From, P, this->Actions);
         },
         [this] { this->flush(); });
   }
 
-  void readCallers() {
-    this->readPackets(this->Sockets->Callers, [this](const base::Address &From,
-                                                     const packet::Packet &P) {
-      this->Agent.onCallerPacket(this->Node.now(), From, P, this->Actions);
-    });
-  }
-
   void readUpstream() {
-    this->readPackets(this->Sockets->Upstream, [this](const base::Address &,
-                                                      const packet::Packet &P) {
-      this->Agent.onUpstreamPacket(this->Node.now(), P, this->Actions);
-    });
+    this->Node.template readPackets<Format>(
+        this->Sockets->Upstream, this->Mutex,
+        [this](const base::Address &, const packet::Packet &P) {
+          this->Agent.onUpstreamPacket(this->Node.now(), P, this->Actions);
+        },
+        [this] { this->flush(); });
   }
 
   void readMessages() {
-    node::readSocket(
-        this->Sockets->Messages,
-        [this](const base::Address &From, std::span<char> Bytes) {
-          base::Result<wire::RelayMessage> Message =
-              wire::parseRelayMessage({Bytes.data(), Bytes.size()});
-          if (!Message) {
-            this->Node.logFault(this->Node.now(),
-                                "message from=" + base::addressText(From));
-            return;
-          }
-          std::lock_guard Lock(this->Mutex);
-          this->Agent.onMessage(this->Node.now(), From, Message.value(),
-                                this->Actions);
+    this->Node.readMessages(
+        this->Sockets->Messages, this->Mutex,
+        [this](const base::Address &From, const wire::RelayMessage &Message) {
+          this->Agent.onMessage(this->Node.now(), From, Message, this->Actions);
         },
         [this] { this->flush(); });
   }
--- a/bilberry/balancer/packet_balancer.h
+++ b/bilberry/balancer/packet_balancer.h
@@ -96,50 +96,29 @@
     runtime::UdpSocket Messages;
   };
 
-  template <typename Handler>
-  void readPackets(const runtime::UdpSocket &Socket, Handler OnPacket) {
-    node::readSocket(
-        Socket,
-        [&](const base::Address &From, std::span<char> Bytes) {
-          std::optional<packet::Packet> Packet = Format::parse(Bytes);
-          if (!Packet) {
-            this->Node.logFault(this->Node.now(),
-                                "packet from=" + base::addressText(From));
-            return;
-          }
-          std::lock_guard Lock(this->Mutex);
-          OnPacket(From, *Packet);
+  void readCallers() {
+    this->Node.template readPackets<Format>(
+        this->Sockets->Front, this->Mutex,
+        [this](const base::Address &, const packet::Packet &P) {
+          this->Router.onCallerPacket(this->Node.now(), P, this->Actions);
         },
         [this] { this->flush(); });
   }
 
-  void readCallers() {
-    this->readPackets(this->Sockets->Front, [this](const base::Address &,
-                                                   const packet::Packet &P) {
-      this->Router.onCallerPacket(this->Node.now(), P, this->Actions);
-    });
-  }
-
   void readReturned() {
-    this->readPackets(this->Sockets->Relay, [this](const base::Address &From,
-                                                   const packet::Packet &P) {
-      this->Router.onReturned(this->Node.now(), From, P, this->Actions);
-    });
+    this->Node.template readPackets<Format>(
+        this->Sockets->Relay, this->Mutex,
+        [this](const base::Address &From, const packet::Packet &P) {
+          this->Router.onReturned(this->Node.now(), From, P, this->Actions);
+        },
+        [this] { this->flush(); });
   }
 
   void readMessages() {
-    node::readSocket(
-        this->Sockets->Messages,
-        [this](const base::Address &From, std::span<char> Bytes) {
-          base::Result<wire::RelayMessage> Message =
-              wire::parseRelayMessage({Bytes.data(), Bytes.size()});
-          if (!Message) {
-            this->Node.logFault(this->Node.now(),
-                                "message from=" + base::addressText(From));
-            return;
-          }
-          std::lock_guard Lock(this->Mutex);
-          this->Router.onMessage(this->Node.now(), From, Message.value(),
+    this->Node.readMessages(
+        this->Sockets->Messages, this->Mutex,
+        [this](const base::Address &From, const wire::RelayMessage &Message) {
+          this->Router.onMessage(this->Node.now(), From, Message,
                                  this->Actions);
         },
         [this] { this->flush(); });
--- a/bilberry/node/packet_node.h
+++ b/bilberry/node/packet_node.h
@@ -19,6 +19,7 @@
 #include "bilberry/targets/operator_follower.h"
 
 #include <boost/fiber/operations.hpp>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -36,6 +37,30 @@
 /// The page with the operators' documents.
 inline constexpr char DocumentsPath[] = "/documents";
 
+/// Reads one socket in a fiber of its own, for ever: each batch is given to
+/// OnDatagram(sender, bytes) one by one, then OnBatch() is called. The socket
+/// and the handlers must outlive the fiber's thread.
+template <typename DatagramHandler, typename BatchHandler>
+void readSocket(const runtime::UdpSocket &Socket, DatagramHandler OnDatagram,
+                BatchHandler OnBatch) {
+  runtime::ReceiveBatch Batch(packet::MaxPacketBytes);
+  while (true) {
+    Socket.receive(Batch);
+    for (size_t I = 0; I < Batch.size(); ++I) {
+      OnDatagram(Batch.sender(I), Batch.buffer(I));
+    }
+    if (Batch.size() > 0) {
+      OnBatch();
+    }
+    // A batch that isn't full has emptied the socket.
+    if (Batch.size() == runtime::BatchSize) {
+      boost::this_fiber::yield();
+    } else {
+      runtime::PollScheduler::waitReadable(Socket.fd());
+    }
+  }
+}
+
 /// Where the operators' documents lie and how they are written.
 struct DocumentSource {
   std::string Prefix;
@@ -117,6 +142,47 @@
                this->Follower.isStoreUp() ? 1 : 0);
   }
 
+  /// Reads packets from a socket for ever, in a fiber of its own: each is given
+  /// to OnPacket(sender, packet) under the mutex, and OnBatch() is called after
+  /// each batch. Everything named must outlive the fiber's thread.
+  template <packet::PacketFormat Format, typename PacketHandler,
+            typename BatchHandler>
+  void readPackets(const runtime::UdpSocket &Socket, std::mutex &Mutex,
+                   PacketHandler OnPacket, BatchHandler OnBatch) {
+    readSocket(
+        Socket,
+        [&](const base::Address &From, std::span<char> Bytes) {
+          std::optional<packet::Packet> Packet = Format::parse(Bytes);
+          if (!Packet) {
+            this->logFault(this->now(),
+                           "packet from=" + base::addressText(From));
+            return;
+          }
+          std::lock_guard Lock(Mutex);
+          OnPacket(From, *Packet);
+        },
+        OnBatch);
+  }
+  /// The same for messages between our processes.
+  template <typename MessageHandler, typename BatchHandler>
+  void readMessages(const runtime::UdpSocket &Socket, std::mutex &Mutex,
+                    MessageHandler OnMessage, BatchHandler OnBatch) {
+    readSocket(
+        Socket,
+        [&](const base::Address &From, std::span<char> Bytes) {
+          base::Result<wire::RelayMessage> Message =
+              wire::parseRelayMessage({Bytes.data(), Bytes.size()});
+          if (!Message) {
+            this->logFault(this->now(),
+                           "message from=" + base::addressText(From));
+            return;
+          }
+          std::lock_guard Lock(Mutex);
+          OnMessage(From, Message.value());
+        },
+        OnBatch);
+  }
+
 private:
   static base::Incarnation runNow() {
     return static_cast<base::Incarnation>(
@@ -151,30 +217,6 @@
   std::jthread FollowerThread;
 };
 
-/// Reads one socket in a fiber of its own, for ever: each batch is given to
-/// OnDatagram(sender, bytes) one by one, then OnBatch() is called. The socket
-/// and the handlers must outlive the fiber's thread.
-template <typename DatagramHandler, typename BatchHandler>
-void readSocket(const runtime::UdpSocket &Socket, DatagramHandler OnDatagram,
-                BatchHandler OnBatch) {
-  runtime::ReceiveBatch Batch(packet::MaxPacketBytes);
-  while (true) {
-    Socket.receive(Batch);
-    for (size_t I = 0; I < Batch.size(); ++I) {
-      OnDatagram(Batch.sender(I), Batch.buffer(I));
-    }
-    if (Batch.size() > 0) {
-      OnBatch();
-    }
-    // A batch that isn't full has emptied the socket.
-    if (Batch.size() == runtime::BatchSize) {
-      boost::this_fiber::yield();
-    } else {
-      runtime::PollScheduler::waitReadable(Socket.fd());
-    }
-  }
-}
-
 } // namespace bilberry::node
 
 #endif
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -398,7 +398,7 @@
   }
 }
 
-void PacketRouter::onAnswer(base::TimePoint Now, const base::Address &,
+void PacketRouter::onAnswer(base::TimePoint Now,
                             const wire::HolderAnswer &Answer,
                             PacketActions &Out) {
   AgentIndex Agent = this->Agents.byName(Answer.Name);
@@ -498,16 +498,18 @@
   ++this->Counts.Found;
   Out.Decisions.push_back({"flow-found", Id, this->Agents.at(Holder).Data,
                            "its agent holds it", this->routeVersion()});
-  this->release(Id, Entry, Holder, HopTag::Holder, Out);
+  this->release(Entry, Holder, Out);
   this->Searches.erase(Id);
 }
 
-void PacketRouter::release(const FlowId &, Search &Entry, AgentIndex Holder,
-                           HopTag Tag, PacketActions &Out) {
+// Sends what waited to the holder.
+void PacketRouter::release(Search &Entry, AgentIndex Holder,
+                           PacketActions &Out) {
   for (std::string &Bytes : Entry.Packets) {
     this->WaitingBytes -= Bytes.size();
     Out.Packets.push_back({packet::Receiver::Peer, this->Agents.at(Holder).Data,
-                           Out.keep(std::move(Bytes)), this->mark(Tag), false});
+                           Out.keep(std::move(Bytes)),
+                           this->mark(HopTag::Holder), false});
   }
   Entry.Packets.clear();
 }
@@ -525,7 +527,7 @@
   if (const auto *Status = std::get_if<wire::AgentStatus>(&Message)) {
     this->onStatus(Now, From, *Status, Out);
   } else if (const auto *Answer = std::get_if<wire::HolderAnswer>(&Message)) {
-    this->onAnswer(Now, From, *Answer, Out);
+    this->onAnswer(Now, *Answer, Out);
   }
 }
 
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -185,13 +185,12 @@
                  packet::PacketActions &Out);
   void found(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
              members::AgentIndex Holder, packet::PacketActions &Out);
-  void release(const packet::FlowId &Id, Search &Entry,
-               members::AgentIndex Holder, packet::HopTag Tag,
+  void release(Search &Entry, members::AgentIndex Holder,
                packet::PacketActions &Out);
   void onStatus(base::TimePoint Now, const base::Address &From,
                 const wire::AgentStatus &Status, packet::PacketActions &Out);
-  void onAnswer(base::TimePoint Now, const base::Address &From,
-                const wire::HolderAnswer &Answer, packet::PacketActions &Out);
+  void onAnswer(base::TimePoint Now, const wire::HolderAnswer &Answer,
+                packet::PacketActions &Out);
   void recall(const base::Address &To, members::AgentIndex Index,
               packet::PacketActions &Out);
   void expireFlows(base::TimePoint Now);
--- a/bilberry/targets/operator_follower.h
+++ b/bilberry/targets/operator_follower.h
@@ -42,15 +42,16 @@
   /// Call several times a second.
   CatchUpStep next(base::TimePoint Now, bool IsBehind) {
     if (!IsBehind) {
-      this->Since.reset();
+      this->WasBehind = false;
       return CatchUpStep::Nothing;
     }
-    if (!this->Since) {
+    if (!this->WasBehind) {
+      this->WasBehind = true;
       this->Since = Now;
       this->HasReadStore = false;
       this->AskPeerAt = Now + WatchGrace + StoreGrace;
     }
-    if (!this->HasReadStore && Now - *this->Since >= WatchGrace) {
+    if (!this->HasReadStore && Now - this->Since >= WatchGrace) {
       this->HasReadStore = true;
       return CatchUpStep::ReadStore;
     }
@@ -62,7 +63,8 @@
   }
 
 private:
-  std::optional<base::TimePoint> Since;
+  bool WasBehind = false;
+  base::TimePoint Since;
   bool HasReadStore = false;
   base::TimePoint AskPeerAt;
 };
--- /dev/null
+++ b/bilberry/testing/packet_parts_test.cc
@@ -0,0 +1,280 @@
+// The small parts of relaying, each by a table: the upstream's record, the
+// queue of openings, catching up with documents, views of agents, settings.
+
+#include "bilberry/admission/opening_queue.h"
+#include "bilberry/members/agent_views.h"
+#include "bilberry/members/upstream_record.h"
+#include "bilberry/routing/upstream_choice.h"
+#include "bilberry/settings/packet_settings.h"
+#include "bilberry/targets/operator_follower.h"
+
+#include <gtest/gtest.h>
+#include <limits>
+#include <string>
+#include <vector>
+
+namespace bilberry {
+namespace {
+
+using members::ReportOutcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::TimePoint Start{std::chrono::hours(1)};
+
+members::UpstreamReport report(const char *Id, int64_t StartedAt,
+                               uint64_t Sequence) {
+  members::UpstreamReport Report;
+  Report.Id = Id;
+  Report.StartedAt = milliseconds(StartedAt);
+  Report.Sequence = Sequence;
+  return Report;
+}
+
+TEST(UpstreamRecord, TellsRunsApart) {
+  struct Case {
+    const char *What;
+    members::UpstreamReport Report;
+    ReportOutcome Outcome;
+  };
+  members::UpstreamRecord Record;
+  const Case Cases[] = {
+      {"the first", report("a", 100, 1), ReportOutcome::NewRun},
+      {"the next", report("a", 100, 2), ReportOutcome::Known},
+      {"late", report("a", 100, 1), ReportOutcome::Stale},
+      {"repeated", report("a", 100, 2), ReportOutcome::Stale},
+      {"successor", report("b", 200, 1), ReportOutcome::NewRun},
+      {"late of the predecessor", report("a", 100, 9), ReportOutcome::Stale},
+      {"same id, started anew", report("b", 300, 1), ReportOutcome::NewRun},
+      {"same id, from before", report("b", 200, 5), ReportOutcome::Stale},
+  };
+  for (const Case &Item : Cases) {
+    EXPECT_EQ(Record.take(Start, Item.Report), Item.Outcome) << Item.What;
+  }
+}
+
+TEST(UpstreamRecord, LeftRunsStayGone) {
+  members::UpstreamRecord Record;
+  Record.take(Start, report("a", 100, 1));
+  EXPECT_FALSE(Record.leave("b"));
+  EXPECT_TRUE(Record.leave("a"));
+  EXPECT_EQ(Record.take(Start, report("a", 100, 2)), ReportOutcome::Stale);
+  EXPECT_FALSE(Record.present());
+  EXPECT_EQ(Record.take(Start, report("b", 200, 1)), ReportOutcome::NewRun);
+}
+
+// Clocks were set back between two runs: the successor's start lies before
+// its predecessor's. It is believed once the other is silent.
+TEST(UpstreamRecord, BelievesAnEarlierStartThatKeepsComing) {
+  members::UpstreamRecord Record;
+  Record.take(Start, report("a", 9000, 1));
+  base::TimePoint Later = Start + members::MaxReportSilence + seconds(1);
+  EXPECT_EQ(Record.take(Later, report("b", 100, 1)), ReportOutcome::Stale);
+  EXPECT_EQ(Record.take(Later, report("b", 100, 2)), ReportOutcome::Stale);
+  EXPECT_EQ(Record.take(Later, report("b", 100, 3)), ReportOutcome::NewRun);
+}
+
+TEST(UpstreamRecord, DrainingIsForGood) {
+  members::UpstreamRecord Record;
+  members::UpstreamReport Report = report("a", 100, 1);
+  Report.IsDraining = true;
+  Record.take(Start, Report);
+  Record.take(Start, report("a", 100, 2));
+  EXPECT_TRUE(Record.present()->IsDraining);
+}
+
+packet::FlowId flow(uint16_t Port) { return {{1, Port}, {2, 443}}; }
+
+// Callers of three kinds wait: fresh and late, important and not.
+TEST(OpeningQueue, ServesThoseInTimeFirst) {
+  admission::OpeningQueue Queue;
+  base::Duration Aim = milliseconds(250);
+  Queue.hold({flow(1), "late, important", Start, 0, Aim});
+  Queue.hold({flow(2), "late", Start + milliseconds(10), 1, Aim});
+  Queue.hold({flow(3), "fresh", Start + milliseconds(450), 1, Aim});
+  Queue.hold({flow(4), "fresh, important", Start + milliseconds(500), 0, Aim});
+  Queue.hold({flow(5), "fresh, earlier", Start + milliseconds(400), 1, Aim});
+  std::vector<std::string> Order;
+  Queue.offerAll(Start + milliseconds(600), [&](admission::HeldOpening &Held) {
+    Order.push_back(Held.Bytes);
+    return Order.size() > 3 ? admission::OfferResult::NoRoom
+                            : admission::OfferResult::Placed;
+  });
+  EXPECT_EQ(Order,
+            (std::vector<std::string>{"fresh, important", "fresh, earlier",
+                                      "fresh", "late, important", "late"}));
+  EXPECT_EQ(Queue.size(), 2U);
+  EXPECT_EQ(Queue.expire(Start + admission::OpeningPatience + seconds(1)), 2U);
+}
+
+TEST(OpeningQueue, IsBounded) {
+  admission::OpeningQueue Queue;
+  for (size_t I = 0; I < admission::MaxHeldOpenings; ++I) {
+    ASSERT_TRUE(Queue.hold({flow(static_cast<uint16_t>(I)), "", Start, 0, {}}));
+  }
+  EXPECT_FALSE(Queue.hold({flow(65000), "", Start, 0, {}}));
+}
+
+TEST(CatchUp, AsksTheStoreThenPeers) {
+  using targets::CatchUpStep;
+  targets::CatchUp Behind;
+  struct Case {
+    milliseconds At;
+    bool IsBehind;
+    CatchUpStep Step;
+  };
+  const Case Cases[] = {
+      {milliseconds(0), true, CatchUpStep::Nothing},
+      {milliseconds(300), true, CatchUpStep::Nothing},
+      {milliseconds(400), true, CatchUpStep::ReadStore},
+      {milliseconds(500), true, CatchUpStep::Nothing},
+      {milliseconds(900), true, CatchUpStep::AskPeer},
+      {milliseconds(1000), true, CatchUpStep::Nothing},
+      {milliseconds(1900), true, CatchUpStep::AskPeer},
+      {milliseconds(1950), false, CatchUpStep::Nothing},
+      {milliseconds(2000), true, CatchUpStep::Nothing},
+      {milliseconds(2400), true, CatchUpStep::ReadStore},
+  };
+  for (const Case &Item : Cases) {
+    EXPECT_EQ(Behind.next(Start + Item.At, Item.IsBehind), Item.Step)
+        << Item.At.count();
+  }
+}
+
+wire::AgentStatus status(const char *Name, const char *DataCentre,
+                         uint32_t Working) {
+  wire::AgentStatus Status;
+  Status.Name = base::MemberName(Name);
+  Status.Run = 1;
+  Status.DataCentre = base::DataCentreName(DataCentre);
+  Status.Service = base::ServiceName("rounds");
+  Status.Data = {0x0A000001,
+                 static_cast<uint16_t>(std::hash<std::string>()(Name))};
+  Status.Condition = wire::AgentCondition::InService;
+  Status.Slots = 2;
+  Status.Working = Working;
+  Status.Budget = std::numeric_limits<uint32_t>::max();
+  return Status;
+}
+
+std::string chosen(const members::AgentViews &Agents, base::TimePoint Now) {
+  base::ServiceName Service("rounds");
+  base::DataCentreName Near("near");
+  routing::TriedAgents Tried;
+  members::AgentIndex Index =
+      routing::chooseUpstream(Agents, {Now, Service, Near, 7, Tried});
+  return Index == members::NoAgent ? "none" : Agents.at(Index).Name.text();
+}
+
+TEST(UpstreamChoice, PrefersNearUntilItQueues) {
+  struct Case {
+    const char *What;
+    uint32_t NearWorking;
+    uint32_t FarWorking;
+    const char *Chosen;
+  };
+  const Case Cases[] = {
+      {"idle", 0, 0, "near"},
+      {"near busy, no queue", 2, 0, "near"},
+      {"near has a queue, far idle", 5, 0, "far"},
+      {"both have one", 5, 5, "near"},
+      {"near full", 6, 5, "far"},
+      {"both full", 6, 6, "none"},
+  };
+  for (const Case &Item : Cases) {
+    members::AgentViews Agents;
+    bool IsNew = false;
+    Agents.takeStatus(Start, {1, 1}, status("near", "near", Item.NearWorking),
+                      IsNew);
+    Agents.takeStatus(Start, {2, 1}, status("far", "away", Item.FarWorking),
+                      IsNew);
+    EXPECT_EQ(chosen(Agents, Start), Item.Chosen) << Item.What;
+  }
+}
+
+TEST(AgentViews, SilenceMakesGoneButNotOurOwnPause) {
+  members::AgentViews Agents;
+  bool IsNew = false;
+  members::AgentIndex Index =
+      Agents.takeStatus(Start, {1, 1}, status("a", "near", 0), IsNew);
+  for (int I = 0; I < 60; ++I) {
+    Agents.tick(Start + (I * milliseconds(50)));
+  }
+  EXPECT_FALSE(Agents.at(Index).IsGone);
+  // This process stood still for ten seconds.
+  base::TimePoint Later = Start + seconds(13);
+  Agents.tick(Later);
+  EXPECT_FALSE(Agents.at(Index).IsGone);
+  for (int I = 0; I < 60; ++I) {
+    Agents.tick(Later + (I * milliseconds(50)));
+  }
+  EXPECT_TRUE(Agents.at(Index).IsGone);
+  Agents.takeStatus(Later + seconds(4), {1, 1}, status("a", "near", 0), IsNew);
+  EXPECT_FALSE(Agents.at(Index).IsGone);
+}
+
+constexpr char AgentText[] = R"([process]
+name = side-1
+data-centre = mobile
+[listen]
+ip = 10.1.0.12
+callers = 10.1.0.12:8172
+health = 10.1.0.12:8167
+first-port = 7720
+heartbeats = 10.1.0.12:8166
+from-upstream = 10.1.0.12:8162
+[upstream]
+address = 10.1.0.12:8165
+service = rounds
+cold-factor = 1.5
+cold-tolerance = 5
+[store]
+address = 10.200.1.7:8169
+)";
+
+TEST(PacketSettings, ReadsAnAgent) {
+  base::Findings Problems;
+  settings::PacketSettings Value = settings::parsePacketSettings(
+      AgentText, "a.ini", members::MemberRole::Agent, Problems);
+  EXPECT_TRUE(Problems.empty()) << Problems.text();
+  EXPECT_EQ(base::addressText(Value.messages()), "10.1.0.12:7720");
+  EXPECT_EQ(base::addressText(Value.relay()), "10.1.0.12:7721");
+  EXPECT_DOUBLE_EQ(Value.Cold.Factor, 1.5);
+  EXPECT_EQ(Value.Cold.Tolerance, 5U);
+}
+
+TEST(PacketSettings, ReportsWhatIsWrong) {
+  struct Case {
+    const char *From;
+    const char *To;
+    const char *Finding;
+  };
+  const Case Cases[] = {
+      {"name = side-1", "name = Side 1", "name"},
+      {"ip = 10.1.0.12\n", "ip = here\n", "IPv4"},
+      {"first-port = 7720", "first-port = 0", "first-port"},
+      {"first-port = 7720", "first-port = 65535", "first-port"},
+      {"cold-factor = 1.5", "cold-factor = much", "cold-factor"},
+      {"cold-factor = 1.5", "cold-factor = -1", "cold-factor"},
+      {"heartbeats = 10.1.0.12:8166\n", "", "heartbeats"},
+      {"[store]", "[shop]", "unknown section"},
+      {"service = rounds", "servise = rounds", "servise"},
+  };
+  for (const Case &Item : Cases) {
+    std::string Text = AgentText;
+    Text.replace(Text.find(Item.From), std::string(Item.From).size(), Item.To);
+    base::Findings Problems;
+    settings::parsePacketSettings(Text, "a.ini", members::MemberRole::Agent,
+                                  Problems);
+    EXPECT_NE(Problems.text().find(Item.Finding), std::string::npos)
+        << Item.To << "\n"
+        << Problems.text();
+  }
+  base::Findings Problems;
+  settings::parsePacketSettings(AgentText, "a.ini",
+                                members::MemberRole::Balancer, Problems);
+  EXPECT_NE(Problems.text().find("is for agents"), std::string::npos);
+}
+
+} // namespace
+} // namespace bilberry
