--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -457,13 +457,13 @@
   const targets::Route *Route = this->Operators->Routes
                                     ? this->Operators->Routes->find(Id.Route)
                                     : nullptr;
-  auto rank = [&](AgentIndex Index) {
+  auto Rank = [&](AgentIndex Index) {
     const wire::AgentStatus &Status = this->Agents.at(Index).Status;
     bool IsOfRoute = Route && Route->allows(Status.Service);
     bool IsNear = Status.DataCentre == this->Self.DataCentre;
     return (IsOfRoute ? 2 : 0) + (IsNear ? 1 : 0);
   };
-  std::ranges::stable_sort(Entry.Unsure, {}, rank);
+  std::ranges::stable_sort(Entry.Unsure, {}, Rank);
 }
 
 // Gives one waiting packet to an upstream that may hold the flow. False where
--- a/bilberry/targets/operator_board.cc
+++ b/bilberry/targets/operator_board.cc
@@ -91,7 +91,7 @@
       Next->Evacuated.insert(Mark->DataCentre);
     }
   }
-  auto noteChanges = [&](const auto &From, const auto &To, const char *What) {
+  auto NoteChanges = [&](const auto &From, const auto &To, const char *What) {
     for (const base::DataCentreName &Name : From) {
       if (!To.contains(Name)) {
         Notes.push_back("event=evacuation data-centre=" + Name.text() +
@@ -100,8 +100,8 @@
       }
     }
   };
-  noteChanges(Next->Evacuated, this->State->Evacuated, "out");
-  noteChanges(this->State->Evacuated, Next->Evacuated, "in");
+  NoteChanges(Next->Evacuated, this->State->Evacuated, "out");
+  NoteChanges(this->State->Evacuated, Next->Evacuated, "in");
   this->State = std::move(Next);
 }
 
