Ask for missed flows in rounds, and don't wait for agents that hold nothing

A search ended after 150 ms where one of 64 agents was silent, forgot all answers, and asked everyone again at the caller's next packet; agents of servers that had left said 'unsure' for a minute, and counted for 5 s after they went away. Up to 64 datagrams went out for each missed flow, which delayed answers on 10 Mbit/s links beyond 150 ms. Ruled out: the store's part (announcements withdrawn at once). Change: flows missed within 20 ms are asked for together; only agents that haven't answered are asked again, late answers count; the second round starts by itself; an agent without a heartbeat for 4 s knows that there is nothing beside it; one that held nothing is gone after 1.5 s of silence. Agents that become known during a round are asked too. An undecided search is logged.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -25,9 +25,10 @@
 PacketAgent::PacketAgent(AgentIdentity Self, admission::ColdAllowance Cold,
                          base::TimePoint StartedAt,
                          const targets::OperatorBoard &Board)
-    : Self(std::move(Self)), StartedAt(StartedAt), Board(Board),
-      Operators(Board.current()), Gate(this->Self.DataCentre, Cold, StartedAt),
-      NextStatus(StartedAt), SeenAt(StartedAt) {}
+    : Self(std::move(Self)), StartedAt(StartedAt), ListeningSince(StartedAt),
+      Board(Board), Operators(Board.current()),
+      Gate(this->Self.DataCentre, Cold, StartedAt), NextStatus(StartedAt),
+      SeenAt(StartedAt) {}
 
 admission::OpeningContext PacketAgent::contextOf(base::TimePoint Now) {
   this->checkPause(Now);
@@ -48,6 +49,7 @@
 void PacketAgent::checkPause(base::TimePoint Now) {
   if (Now - this->SeenAt > MaxPause) {
     this->Gate.notePause(Now);
+    this->ListeningSince = Now;
   }
   this->SeenAt = Now;
 }
@@ -389,6 +391,7 @@
 
 void PacketAgent::onQuery(base::TimePoint Now, const base::Address &From,
                           const wire::HolderQuery &Query, PacketActions &Out) {
+  this->checkPause(Now);
   wire::HolderAnswer Answer;
   Answer.Name = this->Self.Name;
   Answer.Run = this->Self.Run;
@@ -407,9 +410,15 @@
 
 // False while the upstream may hold flows from before this process started. A
 // flow that stays silent for longer than the idle timeout may be dropped, so
-// after that time all that is open has shown itself.
+// after that time all that is open has shown itself. Where no heartbeat comes,
+// there is no upstream that could hold any.
 bool PacketAgent::knowsAllFlows(base::TimePoint Now) const {
-  return this->SawUpstreamStart || Now - this->StartedAt > this->idleLife();
+  base::TimePoint Heard =
+      std::max(this->ListeningSince, this->Upstream.heardAt());
+  bool IsAlone =
+      !this->Upstream.present() && Now - Heard > members::MaxReportSilence;
+  return this->SawUpstreamStart || IsAlone ||
+         Now - this->StartedAt > this->idleLife();
 }
 
 base::Duration PacketAgent::idleLife() const {
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -150,6 +150,8 @@
 
   AgentIdentity Self;
   base::TimePoint StartedAt;
+  // Since when heartbeats can't have been missed by a pause of this process.
+  base::TimePoint ListeningSince;
   const targets::OperatorBoard &Board;
   std::shared_ptr<const targets::OperatorState> Operators;
   admission::OpeningGate Gate;
--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -93,16 +93,11 @@
     base::Duration Silence = Now - View.HeardAt;
     bool HasLeft = View.Status.Condition == wire::AgentCondition::Stopping &&
                    !View.IsAnnounced && Silence > FreshStatus;
-    View.IsGone = Silence > GoneSilence || HasLeft;
+    base::Duration Limit = View.holdsNothing() ? EmptySilence : GoneSilence;
+    View.IsGone = Silence > Limit || HasLeft;
   }
 }
 
-bool AgentViews::allFresh(base::TimePoint Now) const {
-  return std::ranges::all_of(this->Views, [&](const AgentView &View) {
-    return View.IsGone || View.isFresh(Now);
-  });
-}
-
 AgentIndex AgentViews::byData(const base::Address &Data) const {
   auto It = this->ByData.find(Data);
   return It == this->ByData.end() ? NoAgent : It->second;
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -27,6 +27,9 @@
 /// An agent that was silent for this long is gone. Longer than a process takes
 /// to be started again.
 inline constexpr base::Duration GoneSilence = std::chrono::seconds(5);
+/// The same for an agent that had no upstream, and so no flows, by its last
+/// word: six statuses were missed.
+inline constexpr base::Duration EmptySilence = std::chrono::milliseconds(1500);
 /// An announced agent that has never answered within this time of its first
 /// greeting is gone: its announcement only outlives it.
 inline constexpr base::Duration IntroductionTime = std::chrono::seconds(2);
@@ -54,6 +57,14 @@
   base::TimePoint HelloAt;
 
   bool isHeard() const { return this->Status.Run != 0; }
+  /// By its last status there is no flow that only it could know.
+  bool holdsNothing() const {
+    bool HasUpstream =
+        this->Status.Condition != wire::AgentCondition::NoUpstream &&
+        this->Status.Condition != wire::AgentCondition::Stopping;
+    return this->isHeard() && !HasUpstream && this->Status.KnowsAllFlows &&
+           this->Status.Flows == 0;
+  }
   bool isFresh(base::TimePoint Now) const {
     return this->isHeard() && Now - this->HeardAt <= FreshStatus;
   }
@@ -71,8 +82,6 @@
                         const wire::AgentStatus &Status, bool &IsNewRun);
   /// Marks what is silent as gone. Call several times a second.
   void tick(base::TimePoint Now);
-  /// True where every agent that isn't gone has been heard of lately.
-  bool allFresh(base::TimePoint Now) const;
 
   AgentView &at(AgentIndex Index) { return this->Views[Index]; }
   const AgentView &at(AgentIndex Index) const { return this->Views[Index]; }
--- a/bilberry/members/upstream_record.cc
+++ b/bilberry/members/upstream_record.cc
@@ -23,7 +23,6 @@
   this->Last.reset();
   this->Left.reset();
   this->RivalReports = 0;
-  this->RunSeenAt = Now;
   this->accept(Now, Report);
   return ReportOutcome::NewRun;
 }
--- a/bilberry/members/upstream_record.h
+++ b/bilberry/members/upstream_record.h
@@ -64,8 +64,6 @@
   const std::optional<UpstreamReport> &present() const { return this->Last; }
   /// When it came.
   base::TimePoint heardAt() const { return this->HeardAt; }
-  /// When the first heartbeat of the present run came.
-  base::TimePoint runSeenAt() const { return this->RunSeenAt; }
   /// True while there is an upstream that keeps its heartbeats.
   bool isHeard(base::TimePoint Now) const {
     return this->Last && Now - this->HeardAt <= MaxReportSilence;
@@ -82,7 +80,6 @@
 
   std::optional<UpstreamReport> Last;
   base::TimePoint HeardAt;
-  base::TimePoint RunSeenAt;
   base::TimePoint ColdUntil;
   // The run that has left, so that a late heartbeat doesn't bring it back.
   std::optional<UpstreamReport> Left;
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -98,6 +98,11 @@
 void PacketRouter::onOpening(base::TimePoint Now, const Packet &Packet,
                              PacketActions &Out) {
   FlowId Id = Packet.callersFlow();
+  // What is being looked for is an earlier flow of that name.
+  if (auto It = this->Searches.find(Id); It != this->Searches.end()) {
+    this->dropPackets(It->second);
+    this->Searches.erase(It);
+  }
   if (this->Queue.contains(Id)) {
     ++this->Counts.Dropped;
     return;
@@ -365,37 +370,91 @@
     return;
   }
   // Upstreams that may hold it are left from the last round of questions.
-  if (!Entry.Unsure.empty() && Now - Entry.AskedAt < SearchLife) {
+  bool MayProbe = !Entry.Unsure.empty() && !isBlind(Entry);
+  if (MayProbe && Now - Entry.AskedAt < SearchLife) {
     this->probeNext(Now, Id, Entry, Out);
     return;
   }
+  bool IsUnfinished =
+      !Entry.Waiting.empty() && Now - Entry.RoundAt < SearchLife;
+  if (IsUnfinished) {
+    this->askAgain(Now, Id, Entry, Out);
+  } else {
+    this->beginRound(Now, Id, Entry);
+  }
+}
+
+void PacketRouter::beginRound(base::TimePoint Now, const FlowId &Id,
+                              Search &Entry) {
   Entry.IsAsking = true;
+  Entry.AllAnswered = false;
+  Entry.RoundAt = Now;
   Entry.AskedAt = Now;
   Entry.Waiting.clear();
   Entry.Unsure.clear();
-  for (size_t I = 0; I < this->Agents.size(); ++I) {
-    auto Index = static_cast<AgentIndex>(I);
+  Entry.AgentsAsked = 0;
+  this->addNewAgents(Entry);
+  this->ToAsk.push_back(Id);
+}
+
+// Adds the agents that became known since the round began.
+void PacketRouter::addNewAgents(Search &Entry) const {
+  for (; Entry.AgentsAsked < this->Agents.size(); ++Entry.AgentsAsked) {
+    auto Index = static_cast<AgentIndex>(Entry.AgentsAsked);
     if (!this->Agents.at(Index).IsGone) {
       Entry.Waiting.push_back(Index);
     }
   }
+}
+
+// Asks those that haven't answered, since a question or an answer may be lost.
+void PacketRouter::askAgain(base::TimePoint Now, const FlowId &Id,
+                            Search &Entry, PacketActions &Out) {
+  this->addNewAgents(Entry);
+  std::erase_if(Entry.Waiting, [&](AgentIndex Index) {
+    return this->Agents.at(Index).IsGone;
+  });
+  if (Entry.Waiting.empty()) {
+    this->conclude(Now, Id, Entry, Out);
+    return;
+  }
+  Entry.IsAsking = true;
+  Entry.AskedAt = Now;
   this->ToAsk.push_back(Id);
 }
 
-void PacketRouter::flush(base::TimePoint, PacketActions &Out) {
-  while (!this->ToAsk.empty()) {
-    size_t Count = std::min(this->ToAsk.size(), wire::MaxFlowsPerMessage);
-    wire::HolderQuery Query;
-    Query.Flows.assign(this->ToAsk.end() - static_cast<std::ptrdiff_t>(Count),
-                       this->ToAsk.end());
-    this->ToAsk.resize(this->ToAsk.size() - Count);
-    for (size_t I = 0; I < this->Agents.size(); ++I) {
-      const AgentView &View = this->Agents.at(static_cast<AgentIndex>(I));
-      if (!View.IsGone) {
-        Out.Messages.push_back({View.Control, Query});
+void PacketRouter::flush(base::TimePoint Now, PacketActions &Out) {
+  bool IsDue = Now - this->AskedAt >= QueryInterval ||
+               this->ToAsk.size() >= wire::MaxFlowsPerMessage;
+  if (this->ToAsk.empty() || !IsDue) {
+    return;
+  }
+  this->AskedAt = Now;
+  std::vector<wire::HolderQuery> Queries(this->Agents.size());
+  auto Send = [&](AgentIndex Index) {
+    wire::HolderQuery &Query = Queries[Index];
+    Out.Messages.push_back({this->Agents.at(Index).Control, std::move(Query)});
+    Query.Flows.clear();
+  };
+  for (const FlowId &Id : this->ToAsk) {
+    auto It = this->Searches.find(Id);
+    if (It == this->Searches.end()) {
+      continue;
+    }
+    It->second.AskedAt = Now;
+    for (AgentIndex Index : It->second.Waiting) {
+      Queries[Index].Flows.push_back(Id);
+      if (Queries[Index].Flows.size() == wire::MaxFlowsPerMessage) {
+        Send(Index);
       }
     }
   }
+  this->ToAsk.clear();
+  for (size_t I = 0; I < Queries.size(); ++I) {
+    if (!Queries[I].Flows.empty()) {
+      Send(static_cast<AgentIndex>(I));
+    }
+  }
 }
 
 void PacketRouter::onAnswer(base::TimePoint Now,
@@ -415,38 +474,47 @@
       this->found(Now, It->first, Entry, Agent, Out);
       continue;
     }
-    if (std::erase(Entry.Waiting, Agent) == 0 || !Entry.IsAsking) {
+    // An answer counts also where it is late.
+    if (std::erase(Entry.Waiting, Agent) == 0) {
       continue;
     }
     if (Answer.Holdings[I] == wire::Holding::Unsure) {
       Entry.Unsure.push_back(Agent);
     }
     if (Entry.Waiting.empty()) {
-      this->conclude(Now, It->first, Entry, true, Out);
+      // Asks agents that have become known meanwhile, or concludes.
+      this->askAgain(Now, It->first, Entry, Out);
     }
   }
 }
 
 // All have answered, or the others' time is up.
 void PacketRouter::conclude(base::TimePoint Now, const FlowId &Id,
-                            Search &Entry, bool AllAnswered,
-                            PacketActions &Out) {
+                            Search &Entry, PacketActions &Out) {
   Entry.IsAsking = false;
-  Entry.AllAnswered = AllAnswered;
+  Entry.AllAnswered = Entry.Waiting.empty();
   if (!Entry.Unsure.empty()) {
     this->sortUnsure(Id, Entry);
     this->probeNext(Now, Id, Entry, Out);
     return;
   }
   // Asked twice, so that what was under way the first time has arrived.
-  bool IsUnknown = AllAnswered && this->HasMembers &&
+  bool IsUnknown = Entry.AllAnswered && this->HasMembers &&
                    Now - this->StartedAt >= HearingTime &&
-                   Now - Entry.FirstAskedAt >= UnknownDelay;
+                   Entry.RoundAt - Entry.FirstAskedAt >= UnknownDelay;
   if (IsUnknown) {
     Out.Resets.push_back({Id, Entry.LastAcknowledged});
     Out.Decisions.push_back(
         {"flow-reset", Id, {}, "no agent holds it", this->routeVersion()});
     ++this->Counts.Resets;
+  } else {
+    base::Address Silent = Entry.Waiting.empty()
+                               ? base::Address()
+                               : this->Agents.at(Entry.Waiting.front()).Data;
+    Out.Decisions.push_back(
+        {"flow-undecided", Id, Silent,
+         Entry.AllAnswered ? "asked once" : "an agent is silent",
+         this->routeVersion()});
   }
   ++this->Counts.Unknown;
   this->dropPackets(Entry);
@@ -466,12 +534,17 @@
   std::ranges::stable_sort(Entry.Unsure, {}, Rank);
 }
 
+// Too many upstreams were asked in vain while an agent that is silent may be
+// the one.
+bool PacketRouter::isBlind(const Search &Entry) {
+  return !Entry.AllAnswered && Entry.WrongProbes >= MaxBlindProbes;
+}
+
 // Gives one waiting packet to an upstream that may hold the flow. False where
 // none is left, or too many were wrong.
 bool PacketRouter::probeNext(base::TimePoint Now, const FlowId &Id,
                              Search &Entry, PacketActions &Out) {
-  bool IsBlind = !Entry.AllAnswered && Entry.WrongProbes >= MaxBlindProbes;
-  if (Entry.Unsure.empty() || IsBlind || Entry.Packets.empty()) {
+  if (Entry.Unsure.empty() || isBlind(Entry) || Entry.Packets.empty()) {
     this->dropPackets(Entry);
     return false;
   }
@@ -604,7 +677,12 @@
   for (auto It = this->Searches.begin(); It != this->Searches.end();) {
     Search &Entry = It->second;
     if (Entry.IsAsking && Now - Entry.AskedAt > AnswerTimeout) {
-      this->conclude(Now, It->first, Entry, false, Out);
+      this->conclude(Now, It->first, Entry, Out);
+    } else if (Entry.AllAnswered && Entry.Unsure.empty() &&
+               Entry.RoundAt - Entry.FirstAskedAt < UnknownDelay &&
+               Now - Entry.FirstAskedAt >= UnknownDelay) {
+      // The second round doesn't wait for the caller's next packet.
+      this->beginRound(Now, It->first, Entry);
     }
     if (Now - Entry.LastPacket > SearchLife) {
       this->dropPackets(Entry);
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -35,6 +35,9 @@
 /// How long answers are waited for: the way between data centres and back, and
 /// a busy agent's delay.
 inline constexpr base::Duration AnswerTimeout = std::chrono::milliseconds(150);
+/// Flows that are missed within this time are asked for together: at a loss of
+/// everything each flow is, and a question goes to every agent.
+inline constexpr base::Duration QueryInterval = std::chrono::milliseconds(20);
 /// Packets of one flow that wait for an answer.
 inline constexpr size_t MaxWaitingPackets = 6;
 /// Bytes of all packets that wait.
@@ -115,7 +118,8 @@
   /// The announcements in the store, as last read.
   void takeAnnounced(base::TimePoint Now,
                      const std::vector<members::Member> &Members);
-  /// Call at the end of each batch: asks for the flows that it missed.
+  /// Call at the end of each batch and after each tick: asks for the flows
+  /// that it missed, once in each QueryInterval.
   void flush(base::TimePoint Now, packet::PacketActions &Out);
   /// Call several times a second. StoreAnswers: whether the announcements are
   /// up to date.
@@ -144,16 +148,25 @@
     TriedAgents Tried;
     base::TimePoint StartedAt;
   };
+  /// A search goes in rounds; in each, every agent that isn't gone is asked
+  /// until it has answered.
   struct Search {
     base::TimePoint FirstAskedAt;
+    /// When this round began.
+    base::TimePoint RoundAt;
+    /// When those in Waiting were last asked.
     base::TimePoint AskedAt;
     base::TimePoint LastPacket;
+    /// Answers are expected within AnswerTimeout of AskedAt.
     bool IsAsking = false;
+    /// Agents known when the round began.
+    size_t AgentsAsked = 0;
+    /// Those that haven't answered in this round.
     std::vector<members::AgentIndex> Waiting;
     std::vector<members::AgentIndex> Unsure;
     std::vector<std::string> Packets;
     uint32_t WrongProbes = 0;
-    /// Every agent has answered the last question.
+    /// Every agent has answered in this round.
     bool AllAnswered = false;
     uint32_t LastAcknowledged = 0;
   };
@@ -175,12 +188,17 @@
                KnownFlow &Flow, packet::PacketActions &Out);
   void search(base::TimePoint Now, const packet::Packet &Packet,
               packet::PacketActions &Out);
+  void beginRound(base::TimePoint Now, const packet::FlowId &Id, Search &Entry);
+  void addNewAgents(Search &Entry) const;
+  void askAgain(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
+                packet::PacketActions &Out);
   void noteRefusal(members::AgentIndex Agent, packet::HopTag Reason);
   void keepPacket(Search &Entry, const packet::Packet &Packet);
   void dropPackets(Search &Entry);
   void conclude(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
-                bool AllAnswered, packet::PacketActions &Out);
+                packet::PacketActions &Out);
   void sortUnsure(const packet::FlowId &Id, Search &Entry) const;
+  static bool isBlind(const Search &Entry);
   bool probeNext(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
                  packet::PacketActions &Out);
   void found(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
@@ -213,6 +231,7 @@
   std::map<base::ServiceName, base::TimePoint> ServedAt;
   // Flows to ask for at the end of the batch.
   std::vector<packet::FlowId> ToAsk;
+  base::TimePoint AskedAt;
   size_t WaitingBytes = 0;
   // The announcements were read at least once.
   bool HasMembers = false;
