--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -14,6 +14,9 @@
 
 // An upstream whose first heartbeats we get has started beside us.
 static constexpr uint64_t FirstReports = 2;
+// An upstream that lives is heard of within this time: two heartbeats, which
+// come from the same machine, and are sent again at once where they fail.
+static constexpr base::Duration UnheardTime = std::chrono::milliseconds(2500);
 // Copies of an opening packet come within 600 ms of the first.
 static constexpr base::Duration CopyLife = std::chrono::milliseconds(1500);
 // A caller that is there sends its request within this time of the opening:
@@ -415,8 +418,7 @@
 bool PacketAgent::knowsAllFlows(base::TimePoint Now) const {
   base::TimePoint Heard =
       std::max(this->ListeningSince, this->Upstream.heardAt());
-  bool IsAlone =
-      !this->Upstream.present() && Now - Heard > members::MaxReportSilence;
+  bool IsAlone = !this->Upstream.present() && Now - Heard > UnheardTime;
   return this->SawUpstreamStart || IsAlone ||
          Now - this->StartedAt > this->idleLife();
 }
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -397,11 +397,13 @@
   this->ToAsk.push_back(Id);
 }
 
-// Adds the agents that became known since the round began.
+// Adds the agents that became known since the round began. Those that hold
+// nothing by their last status would have told of an upstream at once.
 void PacketRouter::addNewAgents(Search &Entry) const {
   for (; Entry.AgentsAsked < this->Agents.size(); ++Entry.AgentsAsked) {
     auto Index = static_cast<AgentIndex>(Entry.AgentsAsked);
-    if (!this->Agents.at(Index).IsGone) {
+    const AgentView &View = this->Agents.at(Index);
+    if (!View.IsGone && !View.holdsNothing()) {
       Entry.Waiting.push_back(Index);
     }
   }
@@ -412,7 +414,8 @@
                             Search &Entry, PacketActions &Out) {
   this->addNewAgents(Entry);
   std::erase_if(Entry.Waiting, [&](AgentIndex Index) {
-    return this->Agents.at(Index).IsGone;
+    const AgentView &View = this->Agents.at(Index);
+    return View.IsGone || View.holdsNothing();
   });
   if (Entry.Waiting.empty()) {
     this->conclude(Now, Id, Entry, Out);
