--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -82,11 +82,14 @@
   return Index;
 }
 
-void AgentViews::tick(base::TimePoint Now) {
+std::vector<AgentIndex> AgentViews::tick(base::TimePoint Now) {
+  std::vector<AgentIndex> NewlyGone;
   base::Duration Gap = Now - this->TickedAt;
   bool WasPaused = this->TickedAt != base::TimePoint() && Gap > OwnPause;
   this->TickedAt = Now;
-  for (AgentView &View : this->Views) {
+  for (size_t I = 0; I < this->Views.size(); ++I) {
+    AgentView &View = this->Views[I];
+    bool WasGone = View.IsGone;
     if (WasPaused) {
       View.HeardAt += Gap;
     }
@@ -95,7 +98,11 @@
                    !View.IsAnnounced && Silence > FreshStatus;
     base::Duration Limit = View.holdsNothing() ? EmptySilence : GoneSilence;
     View.IsGone = Silence > Limit || HasLeft;
+    if (View.IsGone && !WasGone) {
+      NewlyGone.push_back(static_cast<AgentIndex>(I));
+    }
   }
+  return NewlyGone;
 }
 
 AgentIndex AgentViews::byData(const base::Address &Data) const {
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -80,8 +80,9 @@
   /// first of a run. NoAgent where there is no room.
   AgentIndex takeStatus(base::TimePoint Now, const base::Address &From,
                         const wire::AgentStatus &Status, bool &IsNewRun);
-  /// Marks what is silent as gone. Call several times a second.
-  void tick(base::TimePoint Now);
+  /// Marks what is silent as gone; returns those that weren't before. Call
+  /// several times a second.
+  std::vector<AgentIndex> tick(base::TimePoint Now);
 
   AgentView &at(AgentIndex Index) { return this->Views[Index]; }
   const AgentView &at(AgentIndex Index) const { return this->Views[Index]; }
--- a/bilberry/node/packet_node.h
+++ b/bilberry/node/packet_node.h
@@ -120,6 +120,10 @@
         ++this->UnwrittenLines;
       }
     }
+    // Not limited: one or two for each run of an agent.
+    for (const std::string &Line : Actions.Events) {
+      log::info(Line);
+    }
   }
   /// Writes that something that came could not be read.
   void logFault(base::TimePoint Now, const std::string &What) {
--- a/bilberry/packet/packet_actions.h
+++ b/bilberry/packet/packet_actions.h
@@ -59,6 +59,8 @@
   std::vector<SendReset> Resets;
   std::vector<SendMessage> Messages;
   std::vector<FlowDecision> Decisions;
+  /// Lines for the log on what changed in the view of other processes.
+  std::vector<std::string> Events;
 
   /// Keeps bytes alive until clear(), for packets that were held back.
   std::span<char> keep(std::string Bytes) {
@@ -71,6 +73,7 @@
     this->Resets.clear();
     this->Messages.clear();
     this->Decisions.clear();
+    this->Events.clear();
     this->Kept.clear();
   }
 
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -610,6 +610,8 @@
 void PacketRouter::onStatus(base::TimePoint Now, const base::Address &From,
                             const wire::AgentStatus &Status,
                             PacketActions &Out) {
+  AgentIndex Known = this->Agents.byName(Status.Name);
+  bool WasGone = Known != NoAgent && this->Agents.at(Known).IsGone;
   bool IsNewRun = false;
   AgentIndex Index = this->Agents.takeStatus(Now, From, Status, IsNewRun);
   if (Index == NoAgent) {
@@ -622,6 +624,11 @@
     this->ServedAt[Status.Service] = Now;
   }
   this->offerHeld(Now, Out);
+  if (IsNewRun || WasGone) {
+    Out.Events.push_back("event=agent-heard agent=" + Status.Name.text() +
+                         " run=" + std::to_string(Status.Run) +
+                         " data=" + base::addressText(Status.Data));
+  }
   if (IsNewRun) {
     this->recall(From, Index, Out);
   }
@@ -700,7 +707,16 @@
                           PacketActions &Out) {
   this->HasMembers = this->HasMembers || StoreAnswers;
   this->Operators = this->Board.current();
-  this->Agents.tick(Now);
+  for (AgentIndex Index : this->Agents.tick(Now)) {
+    const AgentView &View = this->Agents.at(Index);
+    auto Silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Now - View.HeardAt);
+    Out.Events.push_back(
+        "event=agent-gone agent=" + View.Name.text() +
+        " run=" + std::to_string(View.Status.Run) +
+        " silent-ms=" + std::to_string(Silence.count()) +
+        (View.IsAnnounced ? " announced=yes" : " announced=no"));
+  }
   this->expireSearches(Now, Out);
   this->offerHeld(Now, Out);
   wire::BalancerHello Hello{this->Self.Name,
--- a/bilberry/testing/packet_parts_test.cc
+++ b/bilberry/testing/packet_parts_test.cc
@@ -205,14 +205,54 @@
   base::TimePoint Later = Start + seconds(13);
   Agents.tick(Later);
   EXPECT_FALSE(Agents.at(Index).IsGone);
+  size_t Told = 0;
   for (int I = 0; I < 60; ++I) {
-    Agents.tick(Later + (I * milliseconds(50)));
+    Told += Agents.tick(Later + (I * milliseconds(50))).size();
   }
   EXPECT_TRUE(Agents.at(Index).IsGone);
+  EXPECT_EQ(Told, 1U);
   Agents.takeStatus(Later + seconds(4), {1, 1}, status("a", "near", 0), IsNew);
   EXPECT_FALSE(Agents.at(Index).IsGone);
 }
 
+// An agent that is silent for long may hold flows, unless it said that it
+// doesn't.
+TEST(AgentViews, SilenceOfWhatHoldsNothingIsShort) {
+  struct Case {
+    const char *What;
+    wire::AgentCondition Condition;
+    uint32_t Flows;
+    bool KnowsAllFlows;
+    bool IsGone;
+  };
+  for (const Case &Item : {
+           Case{"serves", wire::AgentCondition::InService, 0, true, false},
+           Case{"no upstream", wire::AgentCondition::NoUpstream, 0, true, true},
+           Case{"may have one", wire::AgentCondition::NoUpstream, 0, false,
+                false},
+           Case{"flows are left", wire::AgentCondition::NoUpstream, 1, true,
+                false},
+           Case{"drains", wire::AgentCondition::Draining, 0, true, false},
+           Case{"stopping", wire::AgentCondition::Stopping, 0, true, true},
+       }) {
+    members::AgentViews Agents;
+    bool IsNew = false;
+    wire::AgentStatus Status = status("a", "near", 0);
+    Status.Condition = Item.Condition;
+    Status.Flows = Item.Flows;
+    Status.KnowsAllFlows = Item.KnowsAllFlows;
+    members::AgentIndex Index = Agents.takeStatus(Start, {1, 1}, Status, IsNew);
+    std::vector<members::Member> Announced(1);
+    Announced[0].Name = Status.Name;
+    Announced[0].Role = members::MemberRole::Agent;
+    Agents.takeAnnounced(Start, Announced);
+    for (int I = 0; I <= 40; ++I) {
+      Agents.tick(Start + (I * milliseconds(50)));
+    }
+    EXPECT_EQ(Agents.at(Index).IsGone, Item.IsGone) << Item.What;
+  }
+}
+
 constexpr char AgentText[] = R"([process]
 name = side-1
 data-centre = mobile
