Drop late copies of an open flow's opening packet

The agent took it for a new flow, so the open one's entry was replaced, and forgotten 1.5 s later; then all agents said that they didn't hold it, and its caller was reset. Change: the sequence number of the opening packet tells a copy from another flow; where an earlier run of the agent let it through, the entry is kept. Red before: PacketFlow.SurvivesALateCopyOfItsOpening.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -87,6 +87,17 @@
     ++this->Counts.Dropped;
     return;
   }
+  // A balancer that stood still may pass a copy on long after the flow opened.
+  // What opens another flow of that name has another sequence number.
+  bool IsOpen = Known && Known->Stage == FlowStage::Open;
+  if (IsOpen && Known->HasOpeningSequence &&
+      Known->OpeningSequence == Packet.Sequence) {
+    ++this->Counts.Dropped;
+    Out.Decisions.push_back({"flow-copy-dropped", Id, From,
+                             "the flow is open already",
+                             Packet.Mark.RouteVersion});
+    return;
+  }
   HopTag Reason = this->IsStopping
                       ? HopTag::NoUpstream
                       : this->Gate.check(this->contextOf(Now),
@@ -104,8 +115,13 @@
     this->giveBack(From, Packet, Reason, Out);
     return;
   }
-  if (!IsCopy) {
+  // Whether it opens an open flow anew isn't known where an earlier run of this
+  // process let its opening through: the upstream decides, the flow is kept.
+  bool IsKept = IsCopy || (IsOpen && !Known->HasOpeningSequence);
+  if (!IsKept) {
     Known = &this->Flows.start(Now, Id, FlowStage::Opening);
+    Known->OpeningSequence = Packet.Sequence;
+    Known->HasOpeningSequence = true;
     ++this->Counts.Opened;
     Out.Decisions.push_back({"flow-taken", Id, From,
                              this->Upstream.isCold(Now) ? "cold" : "warm",
--- a/bilberry/routing/held_flows.h
+++ b/bilberry/routing/held_flows.h
@@ -41,6 +41,9 @@
   /// The upstream was given a packet to find out whether it holds the flow.
   bool IsProbe = false;
   uint32_t UpstreamSequence = 0;
+  /// The sequence number of its opening packet, where that passed here.
+  uint32_t OpeningSequence = 0;
+  bool HasOpeningSequence = false;
   /// The sequence number after the caller's last byte, once it has sent any.
   uint32_t CallerEnd = 0;
   bool HasCallerData = false;
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -436,7 +436,7 @@
   std::vector<wire::HolderQuery> Queries(this->Agents.size());
   auto Send = [&](AgentIndex Index) {
     wire::HolderQuery &Query = Queries[Index];
-    Out.Messages.push_back({this->Agents.at(Index).Control, std::move(Query)});
+    Out.Messages.push_back({this->Agents.at(Index).Control, Query});
     Query.Flows.clear();
   };
   for (const FlowId &Id : this->ToAsk) {
