--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -388,6 +388,7 @@
                               Search &Entry) {
   Entry.IsAsking = true;
   Entry.AllAnswered = false;
+  Entry.HasAnswer = false;
   Entry.RoundAt = Now;
   Entry.AskedAt = Now;
   Entry.Waiting.clear();
@@ -403,7 +404,12 @@
   for (; Entry.AgentsAsked < this->Agents.size(); ++Entry.AgentsAsked) {
     auto Index = static_cast<AgentIndex>(Entry.AgentsAsked);
     const AgentView &View = this->Agents.at(Index);
-    if (!View.IsGone && !View.holdsNothing()) {
+    if (View.IsGone) {
+      continue;
+    }
+    if (View.holdsNothing()) {
+      Entry.HasAnswer = true;
+    } else {
       Entry.Waiting.push_back(Index);
     }
   }
@@ -481,6 +487,7 @@
     if (std::erase(Entry.Waiting, Agent) == 0) {
       continue;
     }
+    Entry.HasAnswer = true;
     if (Answer.Holdings[I] == wire::Holding::Unsure) {
       Entry.Unsure.push_back(Agent);
     }
@@ -495,7 +502,7 @@
 void PacketRouter::conclude(base::TimePoint Now, const FlowId &Id,
                             Search &Entry, PacketActions &Out) {
   Entry.IsAsking = false;
-  Entry.AllAnswered = Entry.Waiting.empty();
+  Entry.AllAnswered = Entry.Waiting.empty() && Entry.HasAnswer;
   if (!Entry.Unsure.empty()) {
     this->sortUnsure(Id, Entry);
     this->probeNext(Now, Id, Entry, Out);
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -166,6 +166,9 @@
     std::vector<members::AgentIndex> Unsure;
     std::vector<std::string> Packets;
     uint32_t WrongProbes = 0;
+    /// Somebody has spoken in this round; a balancer that knows nobody knows
+    /// nothing of the flow.
+    bool HasAnswer = false;
     /// Every agent has answered in this round.
     bool AllAnswered = false;
     uint32_t LastAcknowledged = 0;
