One HTTP client for calls, and one way to write a host

hostText() stood four times and a fifth in the stand-in store, prepare() and the test for a request that never left twice. They are base::hostText, store::httpClient and store::failedBeforeSending now.

--- a/bilberry/base/address.cc
+++ b/bilberry/base/address.cc
@@ -30,11 +30,15 @@
   return Address{ntohl(Parsed.s_addr), Port};
 }
 
-std::string addressText(const Address &Value) {
+std::string hostText(const Address &Value) {
   in_addr Ip = {htonl(Value.Ip)};
   char Buffer[INET_ADDRSTRLEN] = {};
   inet_ntop(AF_INET, &Ip, Buffer, sizeof(Buffer));
-  return std::string(Buffer) + ":" + std::to_string(Value.Port);
+  return Buffer;
+}
+
+std::string addressText(const Address &Value) {
+  return hostText(Value) + ":" + std::to_string(Value.Port);
 }
 
 } // namespace bilberry::base
--- a/bilberry/base/address.h
+++ b/bilberry/base/address.h
@@ -25,6 +25,9 @@
 /// Reads "127.0.0.1:4000". Errors: Malformed for anything else.
 Result<Address> parseAddress(std::string_view Text);
 
+/// Writes "127.0.0.1". Never fails.
+std::string hostText(const Address &Value);
+
 /// Writes "127.0.0.1:4000". Never fails.
 std::string addressText(const Address &Value);
 
--- a/bilberry/standin/store_server.cc
+++ b/bilberry/standin/store_server.cc
@@ -164,8 +164,7 @@
 }
 
 base::Result<base::Address> StoreServer::Impl::start(base::Address Listen) {
-  std::string Text = base::addressText(Listen);
-  std::string Host = Text.substr(0, Text.rfind(':'));
+  std::string Host = base::hostText(Listen);
   int Port = Listen.Port;
   if (Port == 0) {
     Port = this->Http.bind_to_any_port(Host);
@@ -173,7 +172,8 @@
     Port = -1;
   }
   if (Port < 0) {
-    return base::Error{ErrorCode::System, "can't listen on " + Text};
+    return base::Error{ErrorCode::System,
+                       "can't listen on " + base::addressText(Listen)};
   }
   this->Http.widenQueue();
   this->Listener = std::thread([this] { this->Http.listen_after_bind(); });
--- a/bilberry/store/etcd_store.cc
+++ b/bilberry/store/etcd_store.cc
@@ -2,9 +2,9 @@
 
 #include "bilberry/store/base64.h"
 #include "bilberry/store/etcd_json.h"
+#include "bilberry/store/http_client.h"
 
 #include <boost/outcome/try.hpp>
-#include <httplib.h>
 #include <utility>
 
 namespace bilberry::store {
@@ -27,26 +27,6 @@
 // a megabyte.
 static constexpr size_t MaxWatchLineBytes = 16U << 20U;
 
-static std::string hostText(const base::Address &Server) {
-  std::string Text = base::addressText(Server);
-  return Text.substr(0, Text.rfind(':'));
-}
-
-static void prepare(httplib::Client &Client, base::Duration ConnectTimeout,
-                    base::Duration ReadTimeout) {
-  Client.set_tcp_nodelay(true);
-  Client.set_connection_timeout(ConnectTimeout);
-  Client.set_write_timeout(ConnectTimeout);
-  Client.set_read_timeout(ReadTimeout);
-}
-
-// True where no byte of the request can have reached the store.
-static bool failedBeforeSending(httplib::Error Cause) {
-  return Cause == httplib::Error::Connection ||
-         Cause == httplib::Error::ConnectionTimeout ||
-         Cause == httplib::Error::BindIPAddress;
-}
-
 static Error lostAnswer(bool IsWrite, const std::string &Cause) {
   return {IsWrite ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable,
           "store: no usable answer: " + Cause};
@@ -192,8 +172,8 @@
 base::Result<json> EtcdStore::post(const char *Path, const json &Body,
                                    Effect Kind) {
   bool IsWrite = Kind == Effect::Writes;
-  httplib::Client Client(hostText(this->Server), this->Server.Port);
-  prepare(Client, this->CallTimeout, this->CallTimeout);
+  httplib::Client Client =
+      httpClient(this->Server, this->CallTimeout, this->CallTimeout);
   httplib::Result Answer = Client.Post(Path, Body.dump(), JsonType);
   if (!Answer && failedBeforeSending(Answer.error())) {
     return Error{ErrorCode::Unavailable, "store: " + to_string(Answer.error())};
@@ -321,8 +301,8 @@
                                     const WatchCallback &OnEvent,
                                     std::stop_token Stop) {
   this->Counts.add(StoreCall::Watch);
-  httplib::Client Client(hostText(this->Server), this->Server.Port);
-  prepare(Client, this->CallTimeout, this->WatchSilence);
+  httplib::Client Client =
+      httpClient(this->Server, this->CallTimeout, this->WatchSilence);
   WatchReader Reader(OnEvent);
   httplib::Request Request = watchRequest(Prefix, After);
   Request.response_handler = [&](const httplib::Response &Response) {
