Packet processes share their loop, their actions and what they send

Tick, stop, the lock, the sender and its counter stood in both process classes; they belong to node::PacketNode. A message to many receivers is encoded once, not once for each. An agent's condition after a heartbeat is worked out without a whole status. HeldFlow says with optionals what it said with flags beside values. No behaviour, bound or assertion is changed.

--- a/bench/packet_bench.cc
+++ b/bench/packet_bench.cc
@@ -3,6 +3,7 @@
 
 #include "bilberry/agent/packet_agent.h"
 #include "bilberry/routing/packet_router.h"
+#include "bilberry/standin/one_route.h"
 
 #include <benchmark/benchmark.h>
 #include <limits>
@@ -13,20 +14,6 @@
 
 const base::Address Route = {0xC6120001, 443};
 
-targets::DocumentFormat format() {
-  return {[](std::string_view) -> targets::DocumentKind {
-            return targets::RoutesDocument{};
-          },
-          [](std::string_view) -> base::Result<targets::RouteTable> {
-            targets::RouteTable Table;
-            Table.Version = 1;
-            Table.Routes[targets::RouteTable::key(Route)].Shares = {
-                {base::ServiceName("rounds"), 1}};
-            Table.Services[base::ServiceName("rounds")] = {};
-            return Table;
-          }};
-}
-
 packet::Packet packetOf(uint32_t Caller, bool IsSyn) {
   packet::Packet Value;
   Value.Source = {0x64000000 + (Caller >> 16U), static_cast<uint16_t>(Caller)};
@@ -37,7 +24,7 @@
 }
 
 struct Bench {
-  explicit Bench(int64_t Upstreams) : Board(format()) {
+  explicit Bench(int64_t Upstreams) : Board(standin::oneRouteFormat(Route)) {
     this->Board.takeEvent({false, {"routes", "", 1, 0}});
     for (int64_t I = 0; I < Upstreams; ++I) {
       wire::AgentStatus Status;
@@ -89,7 +76,7 @@
 BENCHMARK(knownFlow)->Arg(2000)->Arg(20000)->Arg(300000);
 
 void atAgent(benchmark::State &State) {
-  targets::OperatorBoard Board(format());
+  targets::OperatorBoard Board(standin::oneRouteFormat(Route));
   Board.takeEvent({false, {"routes", "", 1, 0}});
   base::TimePoint Now{std::chrono::hours(1)};
   agent::PacketAgent Agent(
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -90,8 +90,7 @@
   // A balancer that stood still may pass a copy on long after the flow opened.
   // What opens another flow of that name has another sequence number.
   bool IsOpen = Known && Known->Stage == FlowStage::Open;
-  if (IsOpen && Known->HasOpeningSequence &&
-      Known->OpeningSequence == Packet.Sequence) {
+  if (IsOpen && Known->OpeningSequence == Packet.Sequence) {
     ++this->Counts.Dropped;
     Out.Decisions.push_back({"flow-copy-dropped", Id, From,
                              "the flow is open already",
@@ -117,11 +116,10 @@
   }
   // Whether it opens an open flow anew isn't known where an earlier run of this
   // process let its opening through: the upstream decides, the flow is kept.
-  bool IsKept = IsCopy || (IsOpen && !Known->HasOpeningSequence);
+  bool IsKept = IsCopy || (IsOpen && !Known->OpeningSequence);
   if (!IsKept) {
     Known = &this->Flows.start(Now, Id, FlowStage::Opening);
     Known->OpeningSequence = Packet.Sequence;
-    Known->HasOpeningSequence = true;
     ++this->Counts.Opened;
     Out.Decisions.push_back({"flow-taken", Id, From,
                              this->Upstream.isCold(Now) ? "cold" : "warm",
@@ -141,8 +139,9 @@
   if (Flow.Stage != FlowStage::Opening || Packet.IsReset) {
     return true;
   }
-  bool IsOurs = Flow.IsAnswered && routing::acknowledges(Packet.Acknowledged,
-                                                         Flow.UpstreamSequence);
+  bool IsOurs =
+      Flow.UpstreamSequence &&
+      routing::acknowledges(Packet.Acknowledged, *Flow.UpstreamSequence);
   if (IsOurs) {
     this->Flows.setStage(Flow, FlowStage::Open);
   }
@@ -226,7 +225,6 @@
   Flow->LastPacket = Now;
   Flow->IsProbe = false;
   if (Packet.IsSyn) {
-    Flow->IsAnswered = true;
     Flow->UpstreamSequence = Packet.Sequence;
   } else if (Flow->Stage == FlowStage::Opening) {
     this->Flows.setStage(*Flow, FlowStage::Open);
@@ -324,8 +322,7 @@
     break;
   }
   this->Gate.noteHeard();
-  wire::AgentStatus Status = this->status(Now);
-  if (Status.Condition != this->ToldCondition) {
+  if (this->condition(this->contextOf(Now)) != this->ToldCondition) {
     this->tellAll(Now, Out);
   }
   return Outcome;
@@ -367,19 +364,17 @@
     return;
   }
   wire::AgentStatus Status = this->status(Now);
-  Status.Opened.clear();
-  Status.Ended.clear();
   for (auto &[Id, Flow] : this->Flows.all()) {
     if (!Flow.IsPublished || Flow.Stage != FlowStage::Open) {
       continue;
     }
     Status.Opened.push_back(Id);
     if (Status.Opened.size() == wire::MaxFlowsPerMessage) {
-      Out.Messages.push_back({From, Status});
+      Out.Messages.push_back({{From}, Status});
       Status.Opened.clear();
     }
   }
-  Out.Messages.push_back({From, std::move(Status)});
+  Out.Messages.push_back({{From}, std::move(Status)});
 }
 
 // Flows that an earlier run of this process was known to hold.
@@ -424,7 +419,7 @@
     }
     Answer.Holdings.push_back(Holding);
   }
-  Out.Messages.push_back({From, std::move(Answer)});
+  Out.Messages.push_back({{From}, std::move(Answer)});
 }
 
 // False while the upstream may hold flows from before this process started. A
@@ -460,24 +455,28 @@
     Status.Service = Report->Service;
     Status.Slots = std::max<uint32_t>(1, Report->Slots);
   }
+  Status.Condition = this->condition(Call);
+  if (Status.Condition == wire::AgentCondition::InService) {
+    Status.Budget = this->Gate.budget(Call);
+  }
+  return Status;
+}
+
+wire::AgentCondition
+PacketAgent::condition(const admission::OpeningContext &Call) {
+  if (this->IsStopping) {
+    return wire::AgentCondition::Stopping;
+  }
   switch (this->Gate.condition(Call)) {
   case HopTag::None:
-    Status.Condition = wire::AgentCondition::InService;
-    Status.Budget = this->Gate.budget(Call);
-    break;
+    return wire::AgentCondition::InService;
   case HopTag::Draining:
-    Status.Condition = wire::AgentCondition::Draining;
-    break;
+    return wire::AgentCondition::Draining;
   case HopTag::Evacuated:
-    Status.Condition = wire::AgentCondition::Evacuated;
-    break;
+    return wire::AgentCondition::Evacuated;
   default:
-    Status.Condition = wire::AgentCondition::NoUpstream;
-  }
-  if (this->IsStopping) {
-    Status.Condition = wire::AgentCondition::Stopping;
+    return wire::AgentCondition::NoUpstream;
   }
-  return Status;
 }
 
 void PacketAgent::publishOpened(base::TimePoint Now, base::Duration MinAge) {
@@ -498,6 +497,10 @@
   this->NextStatus = Now + StatusInterval;
   this->ToldAt = Now;
   this->ToldRoom = true;
+  std::vector<base::Address> Receivers;
+  for (const auto &[Address, Known] : this->Balancers) {
+    Receivers.push_back(Address);
+  }
   do {
     auto Move = [](std::vector<FlowId> &From, std::vector<FlowId> &To) {
       size_t Count = std::min(From.size(), wire::MaxFlowsPerMessage / 2);
@@ -506,9 +509,7 @@
     };
     Move(this->Opened, Status.Opened);
     Move(this->Ended, Status.Ended);
-    for (const auto &[Address, Known] : this->Balancers) {
-      Out.Messages.push_back({Address, Status});
-    }
+    Out.Messages.push_back({Receivers, Status});
   } while (!this->Opened.empty() || !this->Ended.empty());
 }
 
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -144,6 +144,7 @@
   void onQuery(base::TimePoint Now, const base::Address &From,
                const wire::HolderQuery &Query, packet::PacketActions &Out);
   wire::AgentStatus status(base::TimePoint Now);
+  wire::AgentCondition condition(const admission::OpeningContext &Call);
   void publishOpened(base::TimePoint Now, base::Duration MinAge);
   void tellRoom(base::TimePoint Now, packet::PacketActions &Out);
   void tellAll(base::TimePoint Now, packet::PacketActions &Out);
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -8,13 +8,11 @@
 #include "bilberry/board/local_member.h"
 #include "bilberry/members/announcer.h"
 #include "bilberry/node/packet_node.h"
-#include "bilberry/runtime/packet_io.h"
 
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/outcome/try.hpp>
 #include <memory>
-#include <mutex>
 
 namespace bilberry::agent {
 
@@ -58,7 +56,7 @@
                       runtime::UdpSocket::bind(this->Settings.messages()));
     this->Sockets = std::make_unique<SocketSet>(SocketSet{
         std::move(Callers), std::move(Upstream), std::move(Messages)});
-    this->Sender.emplace(runtime::PacketOutlets{
+    this->Node.open(runtime::PacketOutlets{
         this->Sockets->Callers, this->Sockets->Messages,
         this->Settings.Callers.Port, this->Settings.Upstream});
     BOOST_OUTCOME_TRY(this->Node.servePages([this] { return this->page(); }));
@@ -69,10 +67,10 @@
 
   /// A heartbeat of the upstream; in force when this returns.
   void onReport(const members::UpstreamReport &Report) {
-    std::lock_guard Lock(this->Mutex);
+    std::lock_guard Lock(this->Node.mutex());
     bool WasDraining = this->isDraining();
     auto Outcome =
-        this->Agent.onReport(this->Node.now(), Report, this->Actions);
+        this->Agent.onReport(this->Node.now(), Report, this->Node.actions());
     if (Outcome == members::ReportOutcome::NewRun) {
       log::info("event=upstream-started id=" + Report.Id +
                 " service=" + Report.Service.text() +
@@ -84,15 +82,15 @@
     } else if (!WasDraining && this->isDraining()) {
       log::info("event=upstream-draining id=" + Report.Id);
     }
-    this->flushLocked();
+    this->Node.flushLocked();
   }
 
   /// The upstream of that id says that it ends.
   void onLeave(const std::string &Id) {
-    std::lock_guard Lock(this->Mutex);
+    std::lock_guard Lock(this->Node.mutex());
     log::info("event=upstream-left id=" + Id);
-    this->Agent.onLeave(this->Node.now(), Id, this->Actions);
-    this->flushLocked();
+    this->Agent.onLeave(this->Node.now(), Id, this->Node.actions());
+    this->Node.flushLocked();
   }
 
   /// A heartbeat could not be read.
@@ -107,17 +105,12 @@
     boost::fibers::fiber([this] { this->readCallers(); }).detach();
     boost::fibers::fiber([this] { this->readUpstream(); }).detach();
     boost::fibers::fiber([this] { this->readMessages(); }).detach();
-    while (true) {
-      boost::this_fiber::sleep_for(node::TickInterval);
-      this->tick();
-      auto Signal = runtime::awaitSignal(std::chrono::milliseconds(0));
-      if (Signal == runtime::StopSignal::Restart) {
-        OnReload();
-      } else if (Signal) {
-        break;
-      }
-    }
-    this->stop();
+    this->Node.run([this](base::TimePoint Now) { return this->tick(Now); },
+                   OnReload,
+                   [this] {
+                     this->stop();
+                     return base::Duration(0);
+                   });
   }
 
 private:
@@ -132,12 +125,12 @@
   void stop() {
     bool HasUpstream = false;
     {
-      std::lock_guard Lock(this->Mutex);
+      std::lock_guard Lock(this->Node.mutex());
       HasUpstream = this->Agent.upstream().present().has_value();
       log::info("event=stopping flows=" + std::to_string(this->Agent.flows()) +
                 (HasUpstream ? " upstream=present" : " upstream=gone"));
-      this->Agent.onStop(this->Node.now(), this->Actions);
-      this->flushLocked();
+      this->Agent.onStop(this->Node.now(), this->Node.actions());
+      this->Node.flushLocked();
     }
     if (!HasUpstream) {
       this->AnnouncerThread.request_stop();
@@ -151,53 +144,45 @@
   }
 
   void readCallers() {
-    this->Node.template readPackets<Format>(
-        this->Sockets->Callers, this->Mutex,
+    this->Node.readPackets(
+        this->Sockets->Callers,
         [this](const base::Address &From, const packet::Packet &P) {
-          this->Agent.onCallerPacket(this->Node.now(), From, P, this->Actions);
+          this->Agent.onCallerPacket(this->Node.now(), From, P,
+                                     this->Node.actions());
         },
         [this] { this->flush(); });
   }
 
   void readUpstream() {
-    this->Node.template readPackets<Format>(
-        this->Sockets->Upstream, this->Mutex,
+    this->Node.readPackets(
+        this->Sockets->Upstream,
         [this](const base::Address &, const packet::Packet &P) {
-          this->Agent.onUpstreamPacket(this->Node.now(), P, this->Actions);
+          this->Agent.onUpstreamPacket(this->Node.now(), P,
+                                       this->Node.actions());
         },
         [this] { this->flush(); });
   }
 
   void readMessages() {
     this->Node.readMessages(
-        this->Sockets->Messages, this->Mutex,
+        this->Sockets->Messages,
         [this](const base::Address &From, const wire::RelayMessage &Message) {
-          this->Agent.onMessage(this->Node.now(), From, Message, this->Actions);
+          this->Agent.onMessage(this->Node.now(), From, Message,
+                                this->Node.actions());
         },
         [this] { this->flush(); });
   }
 
-  void tick() {
-    base::TimePoint Now = this->Node.now();
-    wire::NewsMark Heard;
-    {
-      std::lock_guard Lock(this->Mutex);
-      this->Agent.onTick(Now, this->Actions);
-      Heard = this->Agent.newsHeard();
-    }
-    this->flush();
-    this->Node.tick(Now, Heard);
+  wire::NewsMark tick(base::TimePoint Now) {
+    std::lock_guard Lock(this->Node.mutex());
+    this->Agent.onTick(Now, this->Node.actions());
+    this->Node.flushLocked();
+    return this->Agent.newsHeard();
   }
 
   void flush() {
-    std::lock_guard Lock(this->Mutex);
-    this->flushLocked();
-  }
-
-  // Precondition: Mutex is held.
-  void flushLocked() {
-    this->Node.logDecisions(this->Node.now(), this->Actions);
-    this->Refused += this->Sender->send(this->Actions);
+    std::lock_guard Lock(this->Node.mutex());
+    this->Node.flushLocked();
   }
 
   void keepAnnounced(const std::stop_token &Stop) {
@@ -217,23 +202,17 @@
   std::string page() {
     metrics::Exposition Page;
     this->Node.addMetrics(Page);
-    std::lock_guard Lock(this->Mutex);
-    Page.counter("bilberry_datagrams_refused_total",
-                 "Datagrams that the kernel didn't take", this->Refused);
+    std::lock_guard Lock(this->Node.mutex());
     addAgentMetrics(this->Agent, Page);
     return Page.text();
   }
 
   settings::PacketSettings Settings;
   S &Source;
-  node::PacketNode<S> Node;
-  std::mutex Mutex;
+  node::PacketNode<Format, S> Node;
   PacketAgent Agent;
-  packet::PacketActions Actions;
   board::LocalMember Self;
   std::unique_ptr<SocketSet> Sockets;
-  std::optional<runtime::PacketSender<Format>> Sender;
-  uint64_t Refused = 0;
   std::jthread AnnouncerThread;
 };
 
--- a/bilberry/balancer/packet_balancer.h
+++ b/bilberry/balancer/packet_balancer.h
@@ -7,14 +7,12 @@
 #include "bilberry/members/member_watcher.h"
 #include "bilberry/node/packet_node.h"
 #include "bilberry/routing/packet_router.h"
-#include "bilberry/runtime/packet_io.h"
 
 #include <atomic>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/outcome/try.hpp>
 #include <memory>
-#include <mutex>
 
 namespace bilberry::balancer {
 
@@ -50,10 +48,10 @@
                       runtime::UdpSocket::bind(this->Settings.messages()));
     this->Sockets = std::make_unique<SocketSet>(
         SocketSet{std::move(Front), std::move(Relay), std::move(Messages)});
-    this->Sender.emplace(runtime::PacketOutlets{this->Sockets->Relay,
-                                                this->Sockets->Messages,
-                                                this->Settings.Callers.Port,
-                                                {}});
+    this->Node.open(runtime::PacketOutlets{this->Sockets->Relay,
+                                           this->Sockets->Messages,
+                                           this->Settings.Callers.Port,
+                                           {}});
     BOOST_OUTCOME_TRY(this->Node.servePages([this] { return this->page(); }));
     this->WatcherThread = std::jthread(
         [this](const std::stop_token &Stop) { this->Watcher.run(Stop); });
@@ -62,7 +60,7 @@
 
   /// True while the fabric may send packets here. Thread-safe.
   bool isReady() {
-    std::lock_guard Lock(this->Mutex);
+    std::lock_guard Lock(this->Node.mutex());
     return !this->IsStopping && this->Router.isReady();
   }
 
@@ -73,20 +71,14 @@
     boost::fibers::fiber([this] { this->readCallers(); }).detach();
     boost::fibers::fiber([this] { this->readReturned(); }).detach();
     boost::fibers::fiber([this] { this->readMessages(); }).detach();
-    std::optional<base::TimePoint> StopAt;
-    while (!StopAt || this->Node.now() < *StopAt) {
-      boost::this_fiber::sleep_for(node::TickInterval);
-      this->tick();
-      auto Signal = runtime::awaitSignal(std::chrono::milliseconds(0));
-      if (Signal == runtime::StopSignal::Restart) {
-        OnReload();
-      } else if (Signal && !StopAt) {
-        StopAt = this->Node.now() + StopDelay;
-        this->IsStopping = true;
-        log::info("event=stopping flows=" +
-                  std::to_string(this->Router.flows()));
-      }
-    }
+    this->Node.run([this](base::TimePoint Now) { return this->tick(Now); },
+                   OnReload,
+                   [this] {
+                     this->IsStopping = true;
+                     log::info("event=stopping flows=" +
+                               std::to_string(this->Router.flows()));
+                     return StopDelay;
+                   });
   }
 
 private:
@@ -97,69 +89,72 @@
   };
 
   void readCallers() {
-    this->Node.template readPackets<Format>(
-        this->Sockets->Front, this->Mutex,
+    this->Node.readPackets(
+        this->Sockets->Front,
         [this](const base::Address &, const packet::Packet &P) {
-          this->Router.onCallerPacket(this->Node.now(), P, this->Actions);
+          this->Router.onCallerPacket(this->Node.now(), P,
+                                      this->Node.actions());
         },
         [this] { this->flush(); });
   }
 
   void readReturned() {
-    this->Node.template readPackets<Format>(
-        this->Sockets->Relay, this->Mutex,
+    this->Node.readPackets(
+        this->Sockets->Relay,
         [this](const base::Address &From, const packet::Packet &P) {
-          this->Router.onReturned(this->Node.now(), From, P, this->Actions);
+          this->Router.onReturned(this->Node.now(), From, P,
+                                  this->Node.actions());
         },
         [this] { this->flush(); });
   }
 
   void readMessages() {
     this->Node.readMessages(
-        this->Sockets->Messages, this->Mutex,
+        this->Sockets->Messages,
         [this](const base::Address &From, const wire::RelayMessage &Message) {
           this->Router.onMessage(this->Node.now(), From, Message,
-                                 this->Actions);
+                                 this->Node.actions());
         },
         [this] { this->flush(); });
   }
 
-  void tick() {
-    base::TimePoint Now = this->Node.now();
+  wire::NewsMark tick(base::TimePoint Now) {
     if (Now - this->MembersAt >= MembersInterval) {
       this->MembersAt = Now;
-      this->Watcher.tick(Now);
-      std::vector<members::Member> Announced = this->Members.all();
-      std::erase_if(Announced, [this](const members::Member &Value) {
-        return this->Members.isSilent(Value.Name);
-      });
-      std::lock_guard Lock(this->Mutex);
-      this->Router.takeAnnounced(Now, Announced);
-    }
-    wire::NewsMark Heard;
-    {
-      std::lock_guard Lock(this->Mutex);
-      this->Router.onTick(Now, !this->Watcher.isStoreDown(), this->Actions);
-      Heard = this->Router.newsHeard();
+      this->takeMembers(Now);
     }
-    this->flush();
-    this->Node.tick(Now, Heard);
+    std::lock_guard Lock(this->Node.mutex());
+    this->Router.onTick(Now, !this->Watcher.isStoreDown(),
+                        this->Node.actions());
+    this->flushLocked(Now);
+    return this->Router.newsHeard();
+  }
+
+  void takeMembers(base::TimePoint Now) {
+    this->Watcher.tick(Now);
+    std::vector<members::Member> Announced = this->Members.all();
+    std::erase_if(Announced, [this](const members::Member &Value) {
+      return this->Members.isSilent(Value.Name);
+    });
+    std::lock_guard Lock(this->Node.mutex());
+    this->Router.takeAnnounced(Now, Announced);
   }
 
   void flush() {
-    std::lock_guard Lock(this->Mutex);
-    base::TimePoint Now = this->Node.now();
-    this->Router.flush(Now, this->Actions);
-    this->Node.logDecisions(Now, this->Actions);
-    this->Refused += this->Sender->send(this->Actions);
+    std::lock_guard Lock(this->Node.mutex());
+    this->flushLocked(this->Node.now());
+  }
+
+  // Precondition: the node's mutex is held.
+  void flushLocked(base::TimePoint Now) {
+    this->Router.flush(Now, this->Node.actions());
+    this->Node.flushLocked();
   }
 
   std::string page() {
     metrics::Exposition Page;
     this->Node.addMetrics(Page);
-    std::lock_guard Lock(this->Mutex);
-    Page.counter("bilberry_datagrams_refused_total",
-                 "Datagrams that the kernel didn't take", this->Refused);
+    std::lock_guard Lock(this->Node.mutex());
     addRouterMetrics(this->Router.counts(), this->Router.flows(), Page);
     return Page.text();
   }
@@ -169,17 +164,13 @@
       std::chrono::milliseconds(200);
 
   settings::PacketSettings Settings;
-  node::PacketNode<S> Node;
-  std::mutex Mutex;
+  node::PacketNode<Format, S> Node;
   routing::PacketRouter Router;
-  packet::PacketActions Actions;
   members::MemberTable Members;
   members::MemberWatcher<S, base::BootClock> Watcher;
   base::TimePoint MembersAt;
   std::unique_ptr<SocketSet> Sockets;
-  std::optional<runtime::PacketSender<Format>> Sender;
   std::atomic<bool> IsStopping{false};
-  uint64_t Refused = 0;
   std::jthread WatcherThread;
 };
 
--- a/bilberry/node/packet_node.h
+++ b/bilberry/node/packet_node.h
@@ -1,7 +1,7 @@
 // What a balancer and an agent that relay packets have in common: the clock,
-// the operators' documents and their follower, the pages, and the log of
-// decisions. One thread carries all packets; calls to the store block, and
-// have threads of their own.
+// the operators' documents and their follower, the pages, the actions that
+// wait to be carried out, and the log of decisions. One thread carries all
+// packets; calls to the store block, and have threads of their own.
 
 #ifndef BILBERRY_NODE_PACKET_NODE_H
 #define BILBERRY_NODE_PACKET_NODE_H
@@ -12,6 +12,7 @@
 #include "bilberry/node/job_thread.h"
 #include "bilberry/node/page_client.h"
 #include "bilberry/node/status_server.h"
+#include "bilberry/runtime/packet_io.h"
 #include "bilberry/runtime/poll_scheduler.h"
 #include "bilberry/runtime/signals.h"
 #include "bilberry/runtime/udp_socket.h"
@@ -67,8 +68,9 @@
   targets::DocumentFormat Format;
 };
 
-/// Members are thread-safe but for tick().
-template <store::Store S> class PacketNode {
+/// Members are thread-safe but for open() and run(), which belong to the main
+/// thread.
+template <packet::PacketFormat Format, store::Store S> class PacketNode {
 public:
   /// Precondition: Source outlives the node.
   PacketNode(const settings::PacketSettings &Settings, S &Source,
@@ -85,6 +87,41 @@
   base::Incarnation run() const { return this->Run; }
   targets::OperatorBoard &board() { return this->Board; }
   bool isStoreUp() const { return this->Follower.isStoreUp(); }
+  /// Guards actions() and what the process decides by.
+  std::mutex &mutex() { return this->Mutex; }
+  /// What is to be carried out by the next flushLocked(). Precondition: mutex()
+  /// is held.
+  packet::PacketActions &actions() { return this->Actions; }
+
+  /// Where flushLocked() sends to. The sockets must outlive the node's use.
+  void open(runtime::PacketOutlets Outlets) { this->Sender.emplace(Outlets); }
+  /// Logs and carries out the actions. Preconditions: open() was called, and
+  /// mutex() is held.
+  void flushLocked() {
+    this->logDecisions(this->now());
+    this->Refused += this->Sender->send(this->Actions);
+  }
+
+  /// Calls OnTick(now), which returns what was heard of the documents, each
+  /// TickInterval until a stop signal has come and the time that OnStop()
+  /// returned is over; OnReload() for SIGHUP. Precondition: the thread's fibers
+  /// run under runtime::PollScheduler.
+  template <typename TickHandler, typename ReloadHandler, typename StopHandler>
+  void run(TickHandler OnTick, ReloadHandler OnReload, StopHandler OnStop) {
+    std::optional<base::TimePoint> StopAt;
+    while (!StopAt || this->now() < *StopAt) {
+      boost::this_fiber::sleep_for(TickInterval);
+      base::TimePoint Now = this->now();
+      this->catchUp(Now, OnTick(Now));
+      auto Signal = runtime::awaitSignal(std::chrono::milliseconds(0));
+      if (Signal == runtime::StopSignal::Restart) {
+        OnReload();
+      } else if (Signal && !StopAt) {
+        base::Duration Delay = OnStop();
+        StopAt = this->now() + Delay;
+      }
+    }
+  }
 
   /// Serves the metrics, and the documents for peers. Errors: System.
   base::Result<void> servePages(PageBuilder Metrics) {
@@ -95,36 +132,6 @@
     return this->Pages->start(this->Settings.pages());
   }
 
-  /// Catches up with documents that a peer has.
-  void tick(base::TimePoint Now, const wire::NewsMark &Heard) {
-    bool IsBehind = this->Board.isBehind(Heard.Changed);
-    switch (this->Behind.next(Now, IsBehind)) {
-    case targets::CatchUpStep::Nothing:
-      break;
-    case targets::CatchUpStep::ReadStore:
-      log::info("event=documents-behind heard=" +
-                std::to_string(Heard.Changed) + " action=read-store");
-      this->Follower.reread();
-      break;
-    case targets::CatchUpStep::AskPeer:
-      this->Jobs.post([this, Peer = Heard.Pages] { this->askPeer(Peer); });
-    }
-  }
-
-  /// Writes the decisions on flows, as many as the log bears.
-  void logDecisions(base::TimePoint Now, const packet::PacketActions &Actions) {
-    for (const packet::FlowDecision &Decision : Actions.Decisions) {
-      if (this->FlowLines.allow(Now)) {
-        log::flow(Decision);
-      } else {
-        ++this->UnwrittenLines;
-      }
-    }
-    // Not limited: one or two for each run of an agent.
-    for (const std::string &Line : Actions.Events) {
-      log::info(Line);
-    }
-  }
   /// Writes that something that came could not be read.
   void logFault(base::TimePoint Now, const std::string &What) {
     ++this->Faults;
@@ -144,15 +151,16 @@
                Routes ? static_cast<double>(Routes->Version) : 0);
     Page.gauge("bilberry_store_up", "1 while the store answers",
                this->Follower.isStoreUp() ? 1 : 0);
+    Page.counter("bilberry_datagrams_refused_total",
+                 "Datagrams that the kernel didn't take", this->Refused);
   }
 
   /// Reads packets from a socket for ever, in a fiber of its own: each is given
-  /// to OnPacket(sender, packet) under the mutex, and OnBatch() is called after
+  /// to OnPacket(sender, packet) under mutex(), and OnBatch() is called after
   /// each batch. Everything named must outlive the fiber's thread.
-  template <packet::PacketFormat Format, typename PacketHandler,
-            typename BatchHandler>
-  void readPackets(const runtime::UdpSocket &Socket, std::mutex &Mutex,
-                   PacketHandler OnPacket, BatchHandler OnBatch) {
+  template <typename PacketHandler, typename BatchHandler>
+  void readPackets(const runtime::UdpSocket &Socket, PacketHandler OnPacket,
+                   BatchHandler OnBatch) {
     readSocket(
         Socket,
         [&](const base::Address &From, std::span<char> Bytes) {
@@ -162,15 +170,15 @@
                            "packet from=" + base::addressText(From));
             return;
           }
-          std::lock_guard Lock(Mutex);
+          std::lock_guard Lock(this->Mutex);
           OnPacket(From, *Packet);
         },
         OnBatch);
   }
   /// The same for messages between our processes.
   template <typename MessageHandler, typename BatchHandler>
-  void readMessages(const runtime::UdpSocket &Socket, std::mutex &Mutex,
-                    MessageHandler OnMessage, BatchHandler OnBatch) {
+  void readMessages(const runtime::UdpSocket &Socket, MessageHandler OnMessage,
+                    BatchHandler OnBatch) {
     readSocket(
         Socket,
         [&](const base::Address &From, std::span<char> Bytes) {
@@ -181,7 +189,7 @@
                            "message from=" + base::addressText(From));
             return;
           }
-          std::lock_guard Lock(Mutex);
+          std::lock_guard Lock(this->Mutex);
           OnMessage(From, Message.value());
         },
         OnBatch);
@@ -195,6 +203,37 @@
             .count());
   }
 
+  // Catches up with documents that a peer has.
+  void catchUp(base::TimePoint Now, const wire::NewsMark &Heard) {
+    bool IsBehind = this->Board.isBehind(Heard.Changed);
+    switch (this->Behind.next(Now, IsBehind)) {
+    case targets::CatchUpStep::Nothing:
+      break;
+    case targets::CatchUpStep::ReadStore:
+      log::info("event=documents-behind heard=" +
+                std::to_string(Heard.Changed) + " action=read-store");
+      this->Follower.reread();
+      break;
+    case targets::CatchUpStep::AskPeer:
+      this->Jobs.post([this, Peer = Heard.Pages] { this->askPeer(Peer); });
+    }
+  }
+
+  // Writes the decisions on flows, as many as the log bears.
+  void logDecisions(base::TimePoint Now) {
+    for (const packet::FlowDecision &Decision : this->Actions.Decisions) {
+      if (this->FlowLines.allow(Now)) {
+        log::flow(Decision);
+      } else {
+        ++this->UnwrittenLines;
+      }
+    }
+    // Not limited: one or two for each run of an agent.
+    for (const std::string &Line : this->Actions.Events) {
+      log::info(Line);
+    }
+  }
+
   void askPeer(const base::Address &Peer) {
     base::Result<std::string> Text = fetchPage(Peer, DocumentsPath);
     if (!Text) {
@@ -216,6 +255,10 @@
   base::RateLimiter FaultLines{MaxFaultLinesPerSecond};
   std::atomic<uint64_t> UnwrittenLines{0};
   std::atomic<uint64_t> Faults{0};
+  std::atomic<uint64_t> Refused{0};
+  std::mutex Mutex;
+  packet::PacketActions Actions;
+  std::optional<runtime::PacketSender<Format>> Sender;
   std::optional<StatusServer> Pages;
   JobThread Jobs;
   std::jthread FollowerThread;
--- a/bilberry/packet/packet_actions.h
+++ b/bilberry/packet/packet_actions.h
@@ -36,8 +36,9 @@
   uint32_t Sequence = 0;
 };
 
+/// One message, the same for all its receivers.
 struct SendMessage {
-  base::Address To;
+  std::vector<base::Address> To;
   wire::RelayMessage Message;
 };
 
--- a/bilberry/routing/held_flows.cc
+++ b/bilberry/routing/held_flows.cc
@@ -59,9 +59,8 @@
 void HeldFlows::noteCallerData(HeldFlow &Flow, const packet::Packet &Packet) {
   uint32_t End = Packet.Sequence + Packet.DataBytes;
   bool IsNew =
-      !Flow.HasCallerData || static_cast<int32_t>(End - Flow.CallerEnd) > 0;
+      !Flow.CallerEnd || static_cast<int32_t>(End - *Flow.CallerEnd) > 0;
   if (IsNew) {
-    Flow.HasCallerData = true;
     Flow.CallerEnd = End;
     this->setWorking(Flow, true);
   }
--- a/bilberry/routing/held_flows.h
+++ b/bilberry/routing/held_flows.h
@@ -9,6 +9,7 @@
 #include "bilberry/packet/packet.h"
 
 #include <array>
+#include <optional>
 #include <unordered_map>
 
 namespace bilberry::routing {
@@ -36,17 +37,14 @@
   bool IsPublished = false;
   bool CallerIsDone = false;
   bool UpstreamIsDone = false;
-  /// The upstream has answered the opening packet with UpstreamSequence.
-  bool IsAnswered = false;
   /// The upstream was given a packet to find out whether it holds the flow.
   bool IsProbe = false;
-  uint32_t UpstreamSequence = 0;
   /// The sequence number of its opening packet, where that passed here.
-  uint32_t OpeningSequence = 0;
-  bool HasOpeningSequence = false;
+  std::optional<uint32_t> OpeningSequence;
+  /// The sequence number of the upstream's answer to that, once it came.
+  std::optional<uint32_t> UpstreamSequence;
   /// The sequence number after the caller's last byte, once it has sent any.
-  uint32_t CallerEnd = 0;
-  bool HasCallerData = false;
+  std::optional<uint32_t> CallerEnd;
   /// The caller's last acknowledgement; a reset must lie near it.
   uint32_t CallerAcknowledged = 0;
   /// The balancer that sent the last packet.
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -442,7 +442,7 @@
   std::vector<wire::HolderQuery> Queries(this->Agents.size());
   auto Send = [&](AgentIndex Index) {
     wire::HolderQuery &Query = Queries[Index];
-    Out.Messages.push_back({this->Agents.at(Index).Control, Query});
+    Out.Messages.push_back({{this->Agents.at(Index).Control}, Query});
     Query.Flows.clear();
   };
   for (const FlowId &Id : this->ToAsk) {
@@ -664,12 +664,12 @@
     }
     Recalled.Flows.push_back(Id);
     if (Recalled.Flows.size() == wire::MaxFlowsPerMessage) {
-      Out.Messages.push_back({To, Recalled});
+      Out.Messages.push_back({{To}, Recalled});
       Recalled.Flows.clear();
     }
   }
   if (!Recalled.Flows.empty()) {
-    Out.Messages.push_back({To, std::move(Recalled)});
+    Out.Messages.push_back({{To}, std::move(Recalled)});
   }
 }
 
@@ -726,16 +726,20 @@
   }
   this->expireSearches(Now, Out);
   this->offerHeld(Now, Out);
-  wire::BalancerHello Hello{this->Self.Name,
-                            this->Self.Run,
-                            {this->Operators->Changed, this->Self.Pages}};
+  std::vector<base::Address> Greeted;
   for (size_t I = 0; I < this->Agents.size(); ++I) {
     AgentView &View = this->Agents.at(static_cast<AgentIndex>(I));
     if (Now - View.HelloAt >= HelloInterval) {
       View.HelloAt = Now;
-      Out.Messages.push_back({View.Control, Hello});
+      Greeted.push_back(View.Control);
     }
   }
+  if (!Greeted.empty()) {
+    wire::NewsMark News{this->Operators->Changed, this->Self.Pages};
+    Out.Messages.push_back(
+        {std::move(Greeted),
+         wire::BalancerHello{this->Self.Name, this->Self.Run, News}});
+  }
   if (Now >= this->NextExpiry) {
     this->NextExpiry = Now + ExpiryInterval;
     this->expireFlows(Now);
--- a/bilberry/runtime/packet_io.h
+++ b/bilberry/runtime/packet_io.h
@@ -46,10 +46,10 @@
     }
     Refused += this->flush();
     for (const packet::SendMessage &Action : Actions.Messages) {
-      Refused += this->Outlets.Messages.sendOne(
-                     Action.To, wire::relayMessageBytes(Action.Message), {})
-                     ? 0
-                     : 1;
+      std::string Bytes = wire::relayMessageBytes(Action.Message);
+      for (const base::Address &To : Action.To) {
+        Refused += this->Outlets.Messages.sendOne(To, Bytes, {}) ? 0 : 1;
+      }
     }
     Actions.clear();
     return Refused;
--- a/platform/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -1,37 +1,23 @@
 // One agent by itself: what it counts as work, and what it lets through.
 
 #include "bilberry/agent/packet_agent.h"
+#include "bilberry/standin/one_route.h"
 
 #include <gtest/gtest.h>
 #include <string>
 
-namespace platform::testing {
+namespace bilberry {
 namespace {
 
-using namespace bilberry;
 using std::chrono::milliseconds;
 
 const base::Address Route = {0xC6120001, 8443};
 const base::Address Balancer = {0x0A010001, 7001};
 
-targets::DocumentFormat format() {
-  return {[](std::string_view) -> targets::DocumentKind {
-            return targets::RoutesDocument{};
-          },
-          [](std::string_view) -> base::Result<targets::RouteTable> {
-            targets::RouteTable Table;
-            Table.Version = 1;
-            Table.Routes[targets::RouteTable::key(Route)].Shares = {
-                {base::ServiceName("rounds"), 1}};
-            Table.Services[base::ServiceName("rounds")] = {};
-            return Table;
-          }};
-}
-
 class PacketAgentTest : public ::testing::Test {
 protected:
   PacketAgentTest()
-      : Board(format()),
+      : Board(standin::oneRouteFormat(Route)),
         Agent(
             {base::MemberName("agent"), 1, base::DataCentreName("dc"), {}, {}},
             {1.5, 5}, Clock.now(), Board) {
@@ -201,4 +187,4 @@
     [](const auto &Info) { return std::string(Info.param.Name); });
 
 } // namespace
-} // namespace platform::testing
+} // namespace bilberry
