Looking for a flow's holder is a class of its own

routing::HolderSearch takes over what PacketRouter did in rounds of questions; the router keeps placing, forwarding and what is known of flows. What it goes by comes with each call, what it locates is taken from it, so it can be tested alone. Dead code of this change is gone: noteRefusal, OpeningQueue::arrivedAt, two accessors, a result that nobody read.

--- a/bilberry/admission/opening_queue.cc
+++ b/bilberry/admission/opening_queue.cc
@@ -15,12 +15,6 @@
   return true;
 }
 
-base::TimePoint OpeningQueue::arrivedAt(base::TimePoint Now,
-                                        const packet::FlowId &Flow) const {
-  auto It = this->Held.find(Flow);
-  return It == this->Held.end() ? Now : It->second.ArrivedAt;
-}
-
 size_t OpeningQueue::expire(base::TimePoint Now) {
   return std::erase_if(this->Held, [&](const auto &Known) {
     return Now - Known.second.ArrivedAt > OpeningPatience;
--- a/bilberry/admission/opening_queue.h
+++ b/bilberry/admission/opening_queue.h
@@ -59,9 +59,6 @@
   bool contains(const packet::FlowId &Flow) const {
     return this->Held.contains(Flow);
   }
-  /// When the packet of that flow came, or Now where it isn't held.
-  base::TimePoint arrivedAt(base::TimePoint Now,
-                            const packet::FlowId &Flow) const;
   size_t size() const { return this->Held.size(); }
 
   /// Drops what callers have given up; returns how many.
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -198,13 +198,9 @@
 void PacketAgent::giveBack(const base::Address &To, const Packet &Packet,
                            HopTag Reason, PacketActions &Out) {
   ++this->Counts.Returned;
-  uint64_t Version =
-      this->Operators->Routes ? this->Operators->Routes->Version : 0;
-  Out.Packets.push_back({packet::Receiver::Peer,
-                         To,
-                         Packet.Bytes,
-                         {static_cast<uint32_t>(Version), Reason},
-                         true});
+  Out.Packets.push_back(
+      {packet::Receiver::Peer, To, Packet.Bytes,
+       packet::hopMark(this->Operators->routeVersion(), Reason), true});
 }
 
 // The upstream's packets.
--- a/bilberry/balancer/packet_balancer.cc
+++ b/bilberry/balancer/packet_balancer.cc
@@ -2,8 +2,10 @@
 
 namespace bilberry::balancer {
 
-void addRouterMetrics(const routing::PacketRouterCounts &Counts, size_t Flows,
+void addRouterMetrics(const routing::PacketRouter &Router,
                       metrics::Exposition &Page) {
+  const routing::PacketRouterCounts &Counts = Router.counts();
+  const routing::SearchCounts &Search = Router.searchCounts();
   Page.counter("bilberry_flows_placed_total", "Opening packets sent to agents",
                Counts.Placed);
   Page.counter("bilberry_packets_forwarded_total",
@@ -19,20 +21,20 @@
   Page.counter("bilberry_no_route_total", "Opening packets without a route",
                Counts.NoRoute);
   Page.counter("bilberry_searches_total", "Flows whose holder was asked for",
-               Counts.Searches);
+               Search.Searches);
   Page.counter("bilberry_searches_found_total", "Searches with a holder",
-               Counts.Found);
+               Search.Found);
   Page.counter("bilberry_searches_unknown_total", "Searches without a holder",
-               Counts.Unknown);
+               Search.Unknown);
   Page.counter("bilberry_probes_total",
                "Packets sent to an upstream that might hold their flow",
-               Counts.Probes);
+               Search.Probes);
   Page.counter("bilberry_resets_total", "Flows reset at their callers",
-               Counts.Resets);
+               Counts.Resets + Search.Resets);
   Page.counter("bilberry_packets_dropped_total", "Packets dropped",
-               Counts.Dropped);
+               Counts.Dropped + Search.Dropped);
   Page.gauge("bilberry_flows_known", "Flows whose holder is known",
-             static_cast<double>(Flows));
+             static_cast<double>(Router.flows()));
 }
 
 } // namespace bilberry::balancer
--- a/bilberry/balancer/packet_balancer.h
+++ b/bilberry/balancer/packet_balancer.h
@@ -24,7 +24,7 @@
 inline constexpr base::Duration MembersReread = std::chrono::hours(1);
 
 /// The metrics of a router as a page's samples.
-void addRouterMetrics(const routing::PacketRouterCounts &Counts, size_t Flows,
+void addRouterMetrics(const routing::PacketRouter &Router,
                       metrics::Exposition &Page);
 
 /// One process. run() belongs to the main thread.
@@ -155,7 +155,7 @@
     metrics::Exposition Page;
     this->Node.addMetrics(Page);
     std::lock_guard Lock(this->Node.mutex());
-    addRouterMetrics(this->Router.counts(), this->Router.flows(), Page);
+    addRouterMetrics(this->Router, Page);
     return Page.text();
   }
 
--- a/bilberry/node/packet_node.h
+++ b/bilberry/node/packet_node.h
@@ -86,7 +86,6 @@
   const base::BootClock &clock() const { return this->Clock; }
   base::Incarnation run() const { return this->Run; }
   targets::OperatorBoard &board() { return this->Board; }
-  bool isStoreUp() const { return this->Follower.isStoreUp(); }
   /// Guards actions() and what the process decides by.
   std::mutex &mutex() { return this->Mutex; }
   /// What is to be carried out by the next flushLocked(). Precondition: mutex()
--- a/bilberry/packet/packet.h
+++ b/bilberry/packet/packet.h
@@ -81,6 +81,10 @@
   HopTag Tag = HopTag::None;
 };
 
+inline HopMark hopMark(uint64_t RouteVersion, HopTag Tag) {
+  return {static_cast<uint32_t>(RouteVersion), Tag};
+}
+
 /// One datagram, parsed. Bytes are the receive buffer's or a kept copy's.
 struct Packet {
   base::Address Source;
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -20,14 +20,14 @@
 PacketRouter::PacketRouter(BalancerIdentity Self, base::TimePoint StartedAt,
                            const targets::OperatorBoard &Board)
     : Self(std::move(Self)), StartedAt(StartedAt), Board(Board),
-      Operators(Board.current()) {}
+      Operators(Board.current()), Search(Agents, this->Self.DataCentre) {}
 
 packet::HopMark PacketRouter::mark(HopTag Tag) const {
-  return {static_cast<uint32_t>(this->routeVersion()), Tag};
+  return packet::hopMark(this->routeVersion(), Tag);
 }
 
 uint64_t PacketRouter::routeVersion() const {
-  return this->Operators->Routes ? this->Operators->Routes->Version : 0;
+  return this->Operators->routeVersion();
 }
 
 bool PacketRouter::isReady() const {
@@ -99,10 +99,7 @@
                              PacketActions &Out) {
   FlowId Id = Packet.callersFlow();
   // What is being looked for is an earlier flow of that name.
-  if (auto It = this->Searches.find(Id); It != this->Searches.end()) {
-    this->dropPackets(It->second);
-    this->Searches.erase(It);
-  }
+  this->Search.cancel(Id);
   if (this->Queue.contains(Id)) {
     ++this->Counts.Dropped;
     return;
@@ -275,9 +272,7 @@
     this->Flows.erase(Known);
   }
   if (!Packet.opensFlow()) {
-    if (auto It = this->Searches.find(Id); It != this->Searches.end()) {
-      ++It->second.WrongProbes;
-    }
+    this->Search.onProbeReturned(Id);
     this->search(Now, Packet, Out);
     return;
   }
@@ -303,300 +298,25 @@
   this->place(Now, Packet, Out);
 }
 
-// What a refusal says of the agent, until its next status.
-void PacketRouter::noteRefusal(AgentIndex Agent, HopTag Reason) {
-  AgentView &View = this->Agents.at(Agent);
-  switch (Reason) {
-  case HopTag::Shed:
-  case HopTag::Full:
-    View.SentSince += View.Status.Slots;
-    break;
-  case HopTag::Cold:
-    View.Status.Budget = 0;
-    break;
-  case HopTag::Draining:
-    View.Status.Condition = wire::AgentCondition::Draining;
-    break;
-  case HopTag::Evacuated:
-    View.Status.Condition = wire::AgentCondition::Evacuated;
-    break;
-  case HopTag::NoUpstream:
-    View.Status.Condition = wire::AgentCondition::NoUpstream;
-    break;
-  default:
-    break;
-  }
-}
-
 // Looking for the holder of a flow.
 
-void PacketRouter::keepPacket(Search &Entry, const Packet &Packet) {
-  bool HasRoom = Entry.Packets.size() < MaxWaitingPackets &&
-                 this->WaitingBytes + Packet.Bytes.size() <= MaxWaitingBytes;
-  if (!HasRoom) {
-    ++this->Counts.Dropped;
-    return;
-  }
-  this->WaitingBytes += Packet.Bytes.size();
-  Entry.Packets.emplace_back(Packet.Bytes.data(), Packet.Bytes.size());
-  Entry.LastAcknowledged = Packet.Acknowledged;
-}
-
-void PacketRouter::dropPackets(Search &Entry) {
-  for (const std::string &Bytes : Entry.Packets) {
-    this->WaitingBytes -= Bytes.size();
-    ++this->Counts.Dropped;
-  }
-  Entry.Packets.clear();
+SearchContext PacketRouter::searchContext(base::TimePoint Now) const {
+  return {Now, *this->Operators,
+          this->HasMembers && Now - this->StartedAt >= HearingTime};
 }
 
 void PacketRouter::search(base::TimePoint Now, const Packet &Packet,
                           PacketActions &Out) {
-  FlowId Id = Packet.callersFlow();
-  // The end of a flow that nobody knows any more needs no answer.
-  if (Packet.IsReset) {
-    ++this->Counts.Dropped;
-    return;
-  }
-  bool IsNew = !this->Searches.contains(Id);
-  Search &Entry = this->Searches[Id];
-  if (IsNew) {
-    Entry.FirstAskedAt = Now;
-    ++this->Counts.Searches;
-  }
-  Entry.LastPacket = Now;
-  this->keepPacket(Entry, Packet);
-  if (Entry.IsAsking) {
-    return;
-  }
-  // Upstreams that may hold it are left from the last round of questions.
-  bool MayProbe = !Entry.Unsure.empty() && !isBlind(Entry);
-  if (MayProbe && Now - Entry.AskedAt < SearchLife) {
-    this->probeNext(Now, Id, Entry, Out);
-    return;
-  }
-  bool IsUnfinished =
-      !Entry.Waiting.empty() && Now - Entry.RoundAt < SearchLife;
-  if (IsUnfinished) {
-    this->askAgain(Now, Id, Entry, Out);
-  } else {
-    this->beginRound(Now, Id, Entry);
-  }
-}
-
-void PacketRouter::beginRound(base::TimePoint Now, const FlowId &Id,
-                              Search &Entry) {
-  Entry.IsAsking = true;
-  Entry.AllAnswered = false;
-  Entry.HasAnswer = false;
-  Entry.RoundAt = Now;
-  Entry.AskedAt = Now;
-  Entry.Waiting.clear();
-  Entry.Unsure.clear();
-  Entry.AgentsAsked = 0;
-  this->addNewAgents(Entry);
-  this->ToAsk.push_back(Id);
+  this->Search.onMissed(this->searchContext(Now), Packet, Out);
+  this->rememberLocated(Now);
 }
 
-// Adds the agents that became known since the round began. Those that hold
-// nothing by their last status would have told of an upstream at once.
-void PacketRouter::addNewAgents(Search &Entry) const {
-  for (; Entry.AgentsAsked < this->Agents.size(); ++Entry.AgentsAsked) {
-    auto Index = static_cast<AgentIndex>(Entry.AgentsAsked);
-    const AgentView &View = this->Agents.at(Index);
-    if (View.IsGone) {
-      continue;
-    }
-    if (View.holdsNothing()) {
-      Entry.HasAnswer = true;
-    } else {
-      Entry.Waiting.push_back(Index);
-    }
+void PacketRouter::rememberLocated(base::TimePoint Now) {
+  for (const LocatedFlow &Flow : this->Search.takeLocated()) {
+    this->remember(Now, Flow.Id, Flow.Holder, Flow.IsConfirmed);
   }
 }
 
-// Asks those that haven't answered, since a question or an answer may be lost.
-void PacketRouter::askAgain(base::TimePoint Now, const FlowId &Id,
-                            Search &Entry, PacketActions &Out) {
-  this->addNewAgents(Entry);
-  std::erase_if(Entry.Waiting, [&](AgentIndex Index) {
-    const AgentView &View = this->Agents.at(Index);
-    return View.IsGone || View.holdsNothing();
-  });
-  if (Entry.Waiting.empty()) {
-    this->conclude(Now, Id, Entry, Out);
-    return;
-  }
-  Entry.IsAsking = true;
-  Entry.AskedAt = Now;
-  this->ToAsk.push_back(Id);
-}
-
-void PacketRouter::flush(base::TimePoint Now, PacketActions &Out) {
-  bool IsDue = Now - this->AskedAt >= QueryInterval ||
-               this->ToAsk.size() >= wire::MaxFlowsPerMessage;
-  if (this->ToAsk.empty() || !IsDue) {
-    return;
-  }
-  this->AskedAt = Now;
-  std::vector<wire::HolderQuery> Queries(this->Agents.size());
-  auto Send = [&](AgentIndex Index) {
-    wire::HolderQuery &Query = Queries[Index];
-    Out.Messages.push_back({{this->Agents.at(Index).Control}, Query});
-    Query.Flows.clear();
-  };
-  for (const FlowId &Id : this->ToAsk) {
-    auto It = this->Searches.find(Id);
-    if (It == this->Searches.end()) {
-      continue;
-    }
-    It->second.AskedAt = Now;
-    for (AgentIndex Index : It->second.Waiting) {
-      Queries[Index].Flows.push_back(Id);
-      if (Queries[Index].Flows.size() == wire::MaxFlowsPerMessage) {
-        Send(Index);
-      }
-    }
-  }
-  this->ToAsk.clear();
-  for (size_t I = 0; I < Queries.size(); ++I) {
-    if (!Queries[I].Flows.empty()) {
-      Send(static_cast<AgentIndex>(I));
-    }
-  }
-}
-
-void PacketRouter::onAnswer(base::TimePoint Now,
-                            const wire::HolderAnswer &Answer,
-                            PacketActions &Out) {
-  AgentIndex Agent = this->Agents.byName(Answer.Name);
-  if (Agent == NoAgent) {
-    return;
-  }
-  for (size_t I = 0; I < Answer.Flows.size(); ++I) {
-    auto It = this->Searches.find(Answer.Flows[I]);
-    if (It == this->Searches.end()) {
-      continue;
-    }
-    Search &Entry = It->second;
-    if (Answer.Holdings[I] == wire::Holding::Held) {
-      this->found(Now, It->first, Entry, Agent, Out);
-      continue;
-    }
-    // An answer counts also where it is late.
-    if (std::erase(Entry.Waiting, Agent) == 0) {
-      continue;
-    }
-    Entry.HasAnswer = true;
-    if (Answer.Holdings[I] == wire::Holding::Unsure) {
-      Entry.Unsure.push_back(Agent);
-    }
-    if (Entry.Waiting.empty()) {
-      // Asks agents that have become known meanwhile, or concludes.
-      this->askAgain(Now, It->first, Entry, Out);
-    }
-  }
-}
-
-// All have answered, or the others' time is up.
-void PacketRouter::conclude(base::TimePoint Now, const FlowId &Id,
-                            Search &Entry, PacketActions &Out) {
-  Entry.IsAsking = false;
-  Entry.AllAnswered = Entry.Waiting.empty() && Entry.HasAnswer;
-  if (!Entry.Unsure.empty()) {
-    this->sortUnsure(Id, Entry);
-    this->probeNext(Now, Id, Entry, Out);
-    return;
-  }
-  // Asked twice, so that what was under way the first time has arrived.
-  bool IsUnknown = Entry.AllAnswered && this->HasMembers &&
-                   Now - this->StartedAt >= HearingTime &&
-                   Entry.RoundAt - Entry.FirstAskedAt >= UnknownDelay;
-  if (IsUnknown) {
-    Out.Resets.push_back({Id, Entry.LastAcknowledged});
-    Out.Decisions.push_back(
-        {"flow-reset", Id, {}, "no agent holds it", this->routeVersion()});
-    ++this->Counts.Resets;
-  } else {
-    base::Address Silent = Entry.Waiting.empty()
-                               ? base::Address()
-                               : this->Agents.at(Entry.Waiting.front()).Data;
-    Out.Decisions.push_back(
-        {"flow-undecided", Id, Silent,
-         Entry.AllAnswered ? "asked once" : "an agent is silent",
-         this->routeVersion()});
-  }
-  ++this->Counts.Unknown;
-  this->dropPackets(Entry);
-}
-
-// The likeliest last: of the route's service, and near.
-void PacketRouter::sortUnsure(const FlowId &Id, Search &Entry) const {
-  const targets::Route *Route = this->Operators->Routes
-                                    ? this->Operators->Routes->find(Id.Route)
-                                    : nullptr;
-  auto Rank = [&](AgentIndex Index) {
-    const wire::AgentStatus &Status = this->Agents.at(Index).Status;
-    bool IsOfRoute = Route && Route->allows(Status.Service);
-    bool IsNear = Status.DataCentre == this->Self.DataCentre;
-    return (IsOfRoute ? 2 : 0) + (IsNear ? 1 : 0);
-  };
-  std::ranges::stable_sort(Entry.Unsure, {}, Rank);
-}
-
-// Too many upstreams were asked in vain while an agent that is silent may be
-// the one.
-bool PacketRouter::isBlind(const Search &Entry) {
-  return !Entry.AllAnswered && Entry.WrongProbes >= MaxBlindProbes;
-}
-
-// Gives one waiting packet to an upstream that may hold the flow. False where
-// none is left, or too many were wrong.
-bool PacketRouter::probeNext(base::TimePoint Now, const FlowId &Id,
-                             Search &Entry, PacketActions &Out) {
-  if (Entry.Unsure.empty() || isBlind(Entry) || Entry.Packets.empty()) {
-    this->dropPackets(Entry);
-    return false;
-  }
-  AgentIndex Next = Entry.Unsure.back();
-  Entry.Unsure.pop_back();
-  this->remember(Now, Id, Next, false);
-  ++this->Counts.Probes;
-  Out.Decisions.push_back({"flow-probed", Id, this->Agents.at(Next).Data,
-                           "may be there", this->routeVersion()});
-  // One packet is the question; the rest is sent again by the caller.
-  std::string First = std::move(Entry.Packets.front());
-  this->WaitingBytes -= First.size();
-  Entry.Packets.erase(Entry.Packets.begin());
-  this->dropPackets(Entry);
-  Out.Packets.push_back({packet::Receiver::Peer, this->Agents.at(Next).Data,
-                         Out.keep(std::move(First)), this->mark(HopTag::Probe),
-                         false});
-  return true;
-}
-
-void PacketRouter::found(base::TimePoint Now, const FlowId &Id, Search &Entry,
-                         AgentIndex Holder, PacketActions &Out) {
-  this->remember(Now, Id, Holder, true);
-  ++this->Counts.Found;
-  Out.Decisions.push_back({"flow-found", Id, this->Agents.at(Holder).Data,
-                           "its agent holds it", this->routeVersion()});
-  this->release(Entry, Holder, Out);
-  this->Searches.erase(Id);
-}
-
-// Sends what waited to the holder.
-void PacketRouter::release(Search &Entry, AgentIndex Holder,
-                           PacketActions &Out) {
-  for (std::string &Bytes : Entry.Packets) {
-    this->WaitingBytes -= Bytes.size();
-    Out.Packets.push_back({packet::Receiver::Peer, this->Agents.at(Holder).Data,
-                           Out.keep(std::move(Bytes)),
-                           this->mark(HopTag::Holder), false});
-  }
-  Entry.Packets.clear();
-}
-
 // Agents.
 
 void PacketRouter::takeAnnounced(base::TimePoint Now,
@@ -610,7 +330,8 @@
   if (const auto *Status = std::get_if<wire::AgentStatus>(&Message)) {
     this->onStatus(Now, From, *Status, Out);
   } else if (const auto *Answer = std::get_if<wire::HolderAnswer>(&Message)) {
-    this->onAnswer(Now, *Answer, Out);
+    this->Search.onAnswer(this->searchContext(Now), *Answer, Out);
+    this->rememberLocated(Now);
   }
 }
 
@@ -641,9 +362,7 @@
   }
   for (const FlowId &Id : Status.Opened) {
     this->remember(Now, Id, Index, true);
-    if (auto It = this->Searches.find(Id); It != this->Searches.end()) {
-      this->found(Now, Id, It->second, Index, Out);
-    }
+    this->Search.onHeld(this->searchContext(Now), Id, Index, Out);
   }
   for (const FlowId &Id : Status.Ended) {
     auto It = this->Flows.find(Id);
@@ -690,26 +409,6 @@
   });
 }
 
-void PacketRouter::expireSearches(base::TimePoint Now, PacketActions &Out) {
-  for (auto It = this->Searches.begin(); It != this->Searches.end();) {
-    Search &Entry = It->second;
-    if (Entry.IsAsking && Now - Entry.AskedAt > AnswerTimeout) {
-      this->conclude(Now, It->first, Entry, Out);
-    } else if (Entry.AllAnswered && Entry.Unsure.empty() &&
-               Entry.RoundAt - Entry.FirstAskedAt < UnknownDelay &&
-               Now - Entry.FirstAskedAt >= UnknownDelay) {
-      // The second round doesn't wait for the caller's next packet.
-      this->beginRound(Now, It->first, Entry);
-    }
-    if (Now - Entry.LastPacket > SearchLife) {
-      this->dropPackets(Entry);
-      It = this->Searches.erase(It);
-    } else {
-      ++It;
-    }
-  }
-}
-
 void PacketRouter::onTick(base::TimePoint Now, bool StoreAnswers,
                           PacketActions &Out) {
   this->HasMembers = this->HasMembers || StoreAnswers;
@@ -724,7 +423,8 @@
         " silent-ms=" + std::to_string(Silence.count()) +
         (View.IsAnnounced ? " announced=yes" : " announced=no"));
   }
-  this->expireSearches(Now, Out);
+  this->Search.onTick(this->searchContext(Now), Out);
+  this->rememberLocated(Now);
   this->offerHeld(Now, Out);
   std::vector<base::Address> Greeted;
   for (size_t I = 0; I < this->Agents.size(); ++I) {
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -5,16 +5,7 @@
 // where that one returns it, until one takes it or none is left; then its
 // caller is told at once by a reset. Any other packet goes to the agent that
 // holds its flow: known from having placed it, from the agents' statuses, or
-// by asking all agents, while the packet waits. Where an agent was restarted
-// beside a living upstream nobody may know; then the packet itself is the
-// question, to one upstream after the other, quickly: what counts against us
-// is a flow whose packets go astray for seconds. Each agent remembers what its
-// upstream gave back, so none is asked twice. While an agent is silent, which
-// may be the one, no more than two upstreams are asked.
-//
-// A flow is reset only where its upstream's agent is gone, or where every
-// agent that isn't has said twice, a while apart, that it isn't there. Silence
-// costs its caller a retransmission; a wrong reset costs the flow.
+// by a search (HolderSearch). Where that agent is gone, the caller is told.
 
 #ifndef BILBERRY_ROUTING_PACKET_ROUTER_H
 #define BILBERRY_ROUTING_PACKET_ROUTER_H
@@ -22,6 +13,7 @@
 #include "bilberry/admission/opening_queue.h"
 #include "bilberry/members/agent_views.h"
 #include "bilberry/packet/packet_actions.h"
+#include "bilberry/routing/holder_search.h"
 #include "bilberry/routing/upstream_choice.h"
 #include "bilberry/targets/operator_board.h"
 
@@ -32,28 +24,10 @@
 
 namespace bilberry::routing {
 
-/// How long answers are waited for: the way between data centres and back, and
-/// a busy agent's delay.
-inline constexpr base::Duration AnswerTimeout = std::chrono::milliseconds(150);
-/// Flows that are missed within this time are asked for together: at a loss of
-/// everything each flow is, and a question goes to every agent.
-inline constexpr base::Duration QueryInterval = std::chrono::milliseconds(20);
-/// Packets of one flow that wait for an answer.
-inline constexpr size_t MaxWaitingPackets = 6;
-/// Bytes of all packets that wait.
-inline constexpr size_t MaxWaitingBytes = size_t{2} << 20U;
-/// Wrong upstreams that may be given packets of one flow while an agent is
-/// silent: a third would be one too many.
-inline constexpr uint32_t MaxBlindProbes = 2;
-/// A flow that nobody holds is reset where this was said again after that
-/// time: callers repeat a packet after 200 ms.
-inline constexpr base::Duration UnknownDelay = std::chrono::milliseconds(150);
 /// A balancer that has just started has heard of all living agents after this
 /// time: those announced answer its greeting, and those that knew its earlier
 /// run still tell it how they are.
 inline constexpr base::Duration HearingTime = std::chrono::seconds(1);
-/// How long a search is remembered after its last packet.
-inline constexpr base::Duration SearchLife = std::chrono::seconds(4);
 /// Callers repeat an opening packet within this time.
 inline constexpr base::Duration PlacementLife = std::chrono::milliseconds(1500);
 /// How often an agent is greeted.
@@ -91,12 +65,8 @@
   uint64_t Held = 0;
   uint64_t GivenUp = 0;
   uint64_t NoRoute = 0;
-  uint64_t Searches = 0;
-  uint64_t Found = 0;
-  uint64_t Unknown = 0;
   uint64_t Resets = 0;
   uint64_t Dropped = 0;
-  uint64_t Probes = 0;
 };
 
 /// Not thread-safe: the process holds one lock around it.
@@ -120,7 +90,9 @@
                      const std::vector<members::Member> &Members);
   /// Call at the end of each batch and after each tick: asks for the flows
   /// that it missed, once in each QueryInterval.
-  void flush(base::TimePoint Now, packet::PacketActions &Out);
+  void flush(base::TimePoint Now, packet::PacketActions &Out) {
+    this->Search.flush(Now, Out);
+  }
   /// Call several times a second. StoreAnswers: whether the announcements are
   /// up to date.
   void onTick(base::TimePoint Now, bool StoreAnswers,
@@ -129,8 +101,8 @@
   /// True once it knows routes and has heard of an agent.
   bool isReady() const;
   const PacketRouterCounts &counts() const { return this->Counts; }
+  const SearchCounts &searchCounts() const { return this->Search.counts(); }
   size_t flows() const { return this->Flows.size(); }
-  const members::AgentViews &agents() const { return this->Agents; }
   const wire::NewsMark &newsHeard() const { return this->NewsHeard; }
 
 private:
@@ -148,31 +120,6 @@
     TriedAgents Tried;
     base::TimePoint StartedAt;
   };
-  /// A search goes in rounds; in each, every agent that isn't gone is asked
-  /// until it has answered.
-  struct Search {
-    base::TimePoint FirstAskedAt;
-    /// When this round began.
-    base::TimePoint RoundAt;
-    /// When those in Waiting were last asked.
-    base::TimePoint AskedAt;
-    base::TimePoint LastPacket;
-    /// Answers are expected within AnswerTimeout of AskedAt.
-    bool IsAsking = false;
-    /// Agents known when the round began.
-    size_t AgentsAsked = 0;
-    /// Those that haven't answered in this round.
-    std::vector<members::AgentIndex> Waiting;
-    std::vector<members::AgentIndex> Unsure;
-    std::vector<std::string> Packets;
-    uint32_t WrongProbes = 0;
-    /// Somebody has spoken in this round; a balancer that knows nobody knows
-    /// nothing of the flow.
-    bool HasAnswer = false;
-    /// Every agent has answered in this round.
-    bool AllAnswered = false;
-    uint32_t LastAcknowledged = 0;
-  };
 
   void onOpening(base::TimePoint Now, const packet::Packet &Packet,
                  packet::PacketActions &Out);
@@ -191,31 +138,13 @@
                KnownFlow &Flow, packet::PacketActions &Out);
   void search(base::TimePoint Now, const packet::Packet &Packet,
               packet::PacketActions &Out);
-  void beginRound(base::TimePoint Now, const packet::FlowId &Id, Search &Entry);
-  void addNewAgents(Search &Entry) const;
-  void askAgain(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
-                packet::PacketActions &Out);
-  void noteRefusal(members::AgentIndex Agent, packet::HopTag Reason);
-  void keepPacket(Search &Entry, const packet::Packet &Packet);
-  void dropPackets(Search &Entry);
-  void conclude(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
-                packet::PacketActions &Out);
-  void sortUnsure(const packet::FlowId &Id, Search &Entry) const;
-  static bool isBlind(const Search &Entry);
-  bool probeNext(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
-                 packet::PacketActions &Out);
-  void found(base::TimePoint Now, const packet::FlowId &Id, Search &Entry,
-             members::AgentIndex Holder, packet::PacketActions &Out);
-  void release(Search &Entry, members::AgentIndex Holder,
-               packet::PacketActions &Out);
+  SearchContext searchContext(base::TimePoint Now) const;
+  void rememberLocated(base::TimePoint Now);
   void onStatus(base::TimePoint Now, const base::Address &From,
                 const wire::AgentStatus &Status, packet::PacketActions &Out);
-  void onAnswer(base::TimePoint Now, const wire::HolderAnswer &Answer,
-                packet::PacketActions &Out);
   void recall(const base::Address &To, members::AgentIndex Index,
               packet::PacketActions &Out);
   void expireFlows(base::TimePoint Now);
-  void expireSearches(base::TimePoint Now, packet::PacketActions &Out);
   packet::HopMark mark(packet::HopTag Tag) const;
   uint64_t routeVersion() const;
   void remember(base::TimePoint Now, const packet::FlowId &Id,
@@ -228,14 +157,10 @@
   members::AgentViews Agents;
   std::unordered_map<packet::FlowId, KnownFlow> Flows;
   std::unordered_map<packet::FlowId, Placement> Placements;
-  std::unordered_map<packet::FlowId, Search> Searches;
+  HolderSearch Search;
   admission::OpeningQueue Queue;
   // When an upstream of each service was last open to new flows.
   std::map<base::ServiceName, base::TimePoint> ServedAt;
-  // Flows to ask for at the end of the batch.
-  std::vector<packet::FlowId> ToAsk;
-  base::TimePoint AskedAt;
-  size_t WaitingBytes = 0;
   // The announcements were read at least once.
   bool HasMembers = false;
   base::TimePoint NextExpiry;
--- a/bilberry/targets/operator_board.h
+++ b/bilberry/targets/operator_board.h
@@ -34,6 +34,10 @@
   bool isEvacuated(const base::DataCentreName &Name) const {
     return this->Evacuated.contains(Name);
   }
+  /// The version of the routes, or 0 where there are none.
+  uint64_t routeVersion() const {
+    return this->Routes ? this->Routes->Version : 0;
+  }
 };
 
 /// What a key of the operators' documents stands for.
