Keep flows of agents that stopped before their upstream, or that are cut off

Nothing could reach the upstream any more; 5 s later the balancers took the agent for gone and reset its flows, though the upstream lived until 26.7 s. Ruled out: a restarted agent's wrong "knows all flows" (the agent did not start again).

Change: - An agent whose upstream drains goes on relaying after the stop signal until the upstream has left and its flows are reset, at the latest 1 s before the end of the grace period (new setting stop-grace). It no longer waits for the store to take the withdrawal: with the store away that took up to 6 s, which explains processes that were killed at the end of their grace time. - A balancer doesn't reset flows of an agent that was stopped while its upstream had flows, nor of agents in a data centre of which none is heard (a cut between data centres), until the idle timeout has passed. - A second heartbeat proves that the agent saw its upstream start only if the upstream started after the agent did.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -12,8 +12,9 @@
 using routing::FlowStage;
 using routing::HeldFlow;
 
-// A new upstream run whose first report has at most this sequence number was
-// started while this process was running.
+// A new upstream run whose first report has at most this sequence number may
+// have been started while this process was running: the first heartbeat fails
+// if this process isn't ready yet.
 static constexpr uint64_t MaxFirstSequence = 2;
 // An upstream without a heartbeat for this long is taken to be gone. The limit
 // covers two heartbeats; they come from the same machine, and a failed one is
@@ -327,7 +328,7 @@
       this->resetFlowsBefore(Now, PreviousHeartbeat,
                              "its upstream was restarted", Out);
     }
-    this->SawUpstreamStart = HadRun || Report.Sequence <= MaxFirstSequence;
+    this->SawUpstreamStart = HadRun || this->startedBefore(Report);
     if (Report.Sequence <= 1) {
       this->Admission.recordFirstHeartbeat();
     }
@@ -343,6 +344,15 @@
   return Outcome;
 }
 
+// True if no earlier run of this process relayed packets of the upstream. Both
+// start times are wall-clock times of the same machine.
+bool PacketAgent::startedBefore(
+    const members::UpstreamHeartbeat &Report) const {
+  auto Started = std::chrono::milliseconds(this->Self.Run);
+  return Report.Sequence <= 1 ||
+         (Report.Sequence <= MaxFirstSequence && Report.StartedAt >= Started);
+}
+
 void PacketAgent::onLeave(base::TimePoint Now, const std::string &Id,
                           PacketActions &Out) {
   if (this->Upstream.removeRun(Id)) {
@@ -551,10 +561,18 @@
 
 void PacketAgent::onStop(base::TimePoint Now, PacketActions &Out) {
   this->IsStopping = true;
+  const auto &Run = this->Upstream.currentRun();
+  this->OutlastsUpstream = Run && Run->IsDraining;
   this->announceOpened(Now, base::Duration(0));
   this->broadcastStatus(Now, Out);
 }
 
+bool PacketAgent::isReadyToExit() const {
+  bool AwaitsUpstream =
+      this->OutlastsUpstream && this->Upstream.currentRun().has_value();
+  return !AwaitsUpstream && !this->UpstreamLeftAt;
+}
+
 void PacketAgent::onTick(base::TimePoint Now, PacketActions &Out) {
   this->detectPause(Now);
   if (this->UpstreamLeftAt &&
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -96,8 +96,16 @@
   /// Call when the upstream with this id announces that it is exiting.
   void onLeave(base::TimePoint Now, const std::string &Id,
                packet::PacketActions &Out);
-  /// Call before this process exits: publishes all open flows to the balancers.
+  /// Call when this process is asked to stop: publishes all open flows to the
+  /// balancers. The agent then accepts no new flows, and relays packets until
+  /// the process exits.
   void onStop(base::TimePoint Now, packet::PacketActions &Out);
+  /// After onStop(): false while relaying still serves callers. That is while a
+  /// draining upstream hasn't left, because its machine is being removed and it
+  /// has no other way to its callers; and until the flows of an upstream that
+  /// has left are reset. An upstream that keeps running is served by the next
+  /// run of this process, which should start soon.
+  bool isReadyToExit() const;
   /// Call several times a second.
   void onTick(base::TimePoint Now, packet::PacketActions &Out);
 
@@ -139,6 +147,7 @@
              packet::PacketActions &Out);
   void resetFlowsBefore(base::TimePoint Now, base::TimePoint OpenedBefore,
                         std::string_view Reason, packet::PacketActions &Out);
+  bool startedBefore(const members::UpstreamHeartbeat &Report) const;
   bool knowsAllFlows(base::TimePoint Now) const;
   base::Duration idleTimeout() const;
   void onBalancerHello(base::TimePoint Now, const base::Address &From,
@@ -177,6 +186,8 @@
   // The upstream's present run was started while this process was running.
   bool SawUpstreamStart = false;
   bool IsStopping = false;
+  // The upstream was draining when this process was asked to stop.
+  bool OutlastsUpstream = false;
   wire::DocumentsVersion NewestDocumentsVersion;
   PacketAgentCounts Counts;
 };
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -9,6 +9,7 @@
 #include "bilberry/members/announcer.h"
 #include "bilberry/node/packet_node.h"
 
+#include <atomic>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/outcome/try.hpp>
@@ -25,6 +26,10 @@
 /// longer lease needs fewer calls and outlives short outages of the store.
 inline constexpr base::Duration AgentLeaseTtl = std::chrono::seconds(15);
 
+/// How long before the end of its grace period a stopping agent exits at the
+/// latest.
+inline constexpr base::Duration StopMargin = std::chrono::seconds(1);
+
 /// Adds an agent's metrics to a page.
 void addAgentMetrics(const PacketAgent &Agent, metrics::Exposition &Page);
 
@@ -112,8 +117,9 @@
                    OnReload,
                    [this] {
                      this->stop();
-                     return base::Duration(0);
-                   });
+                     return this->Settings.StopGrace - StopMargin;
+                   },
+                   [this] { return this->isStopped(); });
   }
 
 private:
@@ -123,23 +129,31 @@
     runtime::UdpSocket Messages;
   };
 
-  // If the upstream keeps running, the announcement stays for the next run of
-  // this process. Otherwise it is withdrawn, so that no balancer waits for this
-  // agent.
   void stop() {
+    std::lock_guard Lock(this->Node.mutex());
+    bool HasUpstream = this->Agent.upstream().currentRun().has_value();
+    log::info("event=stopping flows=" + std::to_string(this->Agent.flows()) +
+              (HasUpstream ? " upstream=present" : " upstream=gone"));
+    this->Agent.onStop(this->Node.now(), this->Node.actions());
+    this->Node.flushLocked();
+  }
+
+  // Whether the process may exit before its grace period ends. If the upstream
+  // keeps running, the announcement stays for the next run of this process.
+  // Otherwise it is withdrawn, so that no balancer waits for this agent.
+  bool isStopped() {
     bool HasUpstream = false;
     {
       std::lock_guard Lock(this->Node.mutex());
+      if (!this->Agent.isReadyToExit()) {
+        return false;
+      }
       HasUpstream = this->Agent.upstream().currentRun().has_value();
-      log::info("event=stopping flows=" + std::to_string(this->Agent.flows()) +
-                (HasUpstream ? " upstream=present" : " upstream=gone"));
-      this->Agent.onStop(this->Node.now(), this->Node.actions());
-      this->Node.flushLocked();
     }
     if (!HasUpstream) {
       this->AnnouncerThread.request_stop();
-      this->AnnouncerThread.join();
     }
+    return HasUpstream || this->IsWithdrawn;
   }
 
   bool isDraining() const {
@@ -201,6 +215,7 @@
         this->Self.setRun(Next);
       }
     }
+    this->IsWithdrawn = true;
   }
 
   std::string metricsPage() {
@@ -217,6 +232,8 @@
   PacketAgent Agent;
   board::LocalMember Self;
   std::unique_ptr<SocketSet> Sockets;
+  // The announcement was withdrawn, or WithdrawTimeout has passed.
+  std::atomic<bool> IsWithdrawn{false};
   std::jthread AnnouncerThread;
 };
 
--- a/bilberry/balancer/packet_balancer.h
+++ b/bilberry/balancer/packet_balancer.h
@@ -83,7 +83,8 @@
                      log::info("event=stopping flows=" +
                                std::to_string(this->Router.flows()));
                      return StopDelay;
-                   });
+                   },
+                   [] { return false; });
   }
 
 private:
--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -89,6 +89,7 @@
   bool WasPaused = this->LastTickAt != base::TimePoint() &&
                    SinceLastTick > ProcessPauseThreshold;
   this->LastTickAt = Now;
+  this->Reachable.clear();
   for (size_t I = 0; I < this->Views.size(); ++I) {
     AgentView &View = this->Views[I];
     bool WasGone = View.IsGone;
@@ -104,10 +105,28 @@
     if (View.IsGone && !WasGone) {
       NewlyGone.push_back(static_cast<AgentIndex>(I));
     }
+    if (!View.IsGone && View.hasStatus()) {
+      this->Reachable.insert(View.Status.DataCentre);
+    }
   }
   return NewlyGone;
 }
 
+bool AgentViews::mayStillServe(base::TimePoint Now, AgentIndex Index,
+                               const base::DataCentreName &Local,
+                               base::Duration FlowLifetime) const {
+  const AgentView &View = this->Views[Index];
+  bool IsExpired = Now - View.LastStatusAt > FlowLifetime;
+  if (!View.IsGone || !View.hasStatus() || View.Status.Flows == 0 ||
+      IsExpired) {
+    return false;
+  }
+  bool WasStopped = View.Status.Condition == wire::AgentCondition::Stopping;
+  bool IsUnreachable = View.Status.DataCentre != Local &&
+                       !this->Reachable.contains(View.Status.DataCentre);
+  return WasStopped || IsUnreachable;
+}
+
 AgentIndex AgentViews::findByDataAddress(const base::Address &Data) const {
   auto It = this->IndexByDataAddress.find(Data);
   return It == this->IndexByDataAddress.end() ? NoAgent : It->second;
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -7,6 +7,11 @@
 // as gone, together with the flows of its upstream: nothing that is sent to it
 // arrives, so its callers are better served by another agent. Pauses of this
 // process don't count towards the timeout.
+//
+// Two kinds of silent agents may nevertheless have an upstream that serves: one
+// that was stopped before its upstream, and one in a data centre of which no
+// agent is heard, because the path to that data centre is cut. Their flows are
+// not reset before the idle timeout of flows has passed.
 
 #ifndef BILBERRY_MEMBERS_AGENT_VIEWS_H
 #define BILBERRY_MEMBERS_AGENT_VIEWS_H
@@ -92,6 +97,14 @@
   /// newly gone. Must be called several times a second.
   std::vector<AgentIndex> tick(base::TimePoint Now);
 
+  /// True if the agent is gone, but its upstream may still serve the flows that
+  /// it held: the agent was stopped while its upstream had flows, or no agent
+  /// of its data centre, which isn't Local, is heard. FlowLifetime is how long
+  /// an open flow may be idle.
+  bool mayStillServe(base::TimePoint Now, AgentIndex Index,
+                     const base::DataCentreName &Local,
+                     base::Duration FlowLifetime) const;
+
   AgentView &at(AgentIndex Index) { return this->Views[Index]; }
   const AgentView &at(AgentIndex Index) const { return this->Views[Index]; }
   /// The agent that receives callers' packets at this address, or NoAgent.
@@ -106,6 +119,8 @@
                     const base::Address &Control);
 
   base::TimePoint LastTickAt;
+  // The data centres of which at least one agent isn't gone.
+  std::set<base::DataCentreName> Reachable;
   // A deque keeps references valid when agents are added.
   std::deque<AgentView> Views;
   std::map<base::MemberName, AgentIndex> IndexByName;
--- a/bilberry/node/packet_node.h
+++ b/bilberry/node/packet_node.h
@@ -106,12 +106,14 @@
   /// Calls OnTick(now) every TickInterval; it returns the latest document
   /// change that peers have reported. Calls OnReload() for SIGHUP. On a stop
   /// signal, calls OnStop() once and returns after the delay that OnStop()
-  /// returned. Precondition: the thread's fibers run under
-  /// runtime::PollScheduler.
-  template <typename TickHandler, typename ReloadHandler, typename StopHandler>
-  void run(TickHandler OnTick, ReloadHandler OnReload, StopHandler OnStop) {
+  /// returned, or as soon as MayExit() returns true. Precondition: the thread's
+  /// fibers run under runtime::PollScheduler.
+  template <typename TickHandler, typename ReloadHandler, typename StopHandler,
+            typename ExitCondition>
+  void run(TickHandler OnTick, ReloadHandler OnReload, StopHandler OnStop,
+           ExitCondition MayExit) {
     std::optional<base::TimePoint> StopAt;
-    while (!StopAt || this->now() < *StopAt) {
+    while (!StopAt || (this->now() < *StopAt && !MayExit())) {
       boost::this_fiber::sleep_for(TickInterval);
       base::TimePoint Now = this->now();
       this->catchUp(Now, OnTick(Now));
--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -79,22 +79,37 @@
   Entry.PendingAgents.clear();
   Entry.ProbeCandidates.clear();
   Entry.AgentsConsidered = 0;
-  this->addNewAgents(Entry);
+  this->addNewAgents(Ctx, Id, Entry);
   this->FlowsToQuery.push_back(Id);
 }
 
+// Whether the agent's upstream may hold the flow. Of the agents that are gone,
+// only those of the route's service count.
+bool HolderSearch::mayHoldFlow(const SearchContext &Ctx, const FlowId &Id,
+                               AgentIndex Index) const {
+  const AgentView &View = this->Agents.at(Index);
+  if (!View.IsGone) {
+    return true;
+  }
+  const targets::Route *Route =
+      Ctx.Operators.Routes ? Ctx.Operators.Routes->find(Id.Route) : nullptr;
+  return (!Route || Route->allows(View.Status.Service)) &&
+         this->Agents.mayStillServe(Ctx.Now, Index, this->DataCentre,
+                                    Ctx.FlowLifetime);
+}
+
 // Adds the agents that became known since the round started. Agents whose last
 // status reports no upstream and no flows are not queried: they would have
 // reported a new upstream immediately.
-void HolderSearch::addNewAgents(Search &Entry) const {
+void HolderSearch::addNewAgents(const SearchContext &Ctx, const FlowId &Id,
+                                Search &Entry) const {
   for (; Entry.AgentsConsidered < this->Agents.size();
        ++Entry.AgentsConsidered) {
     auto Index = static_cast<AgentIndex>(Entry.AgentsConsidered);
-    const AgentView &View = this->Agents.at(Index);
-    if (View.IsGone) {
+    if (!this->mayHoldFlow(Ctx, Id, Index)) {
       continue;
     }
-    if (View.hasNoFlows()) {
+    if (this->Agents.at(Index).hasNoFlows()) {
       Entry.HasReport = true;
     } else {
       Entry.PendingAgents.push_back(Index);
@@ -106,10 +121,10 @@
 // reply may have been lost.
 void HolderSearch::repeatQueries(const SearchContext &Ctx, const FlowId &Id,
                                  Search &Entry, PacketActions &Out) {
-  this->addNewAgents(Entry);
+  this->addNewAgents(Ctx, Id, Entry);
   std::erase_if(Entry.PendingAgents, [&](AgentIndex Index) {
-    const AgentView &View = this->Agents.at(Index);
-    return View.IsGone || View.hasNoFlows();
+    return !this->mayHoldFlow(Ctx, Id, Index) ||
+           this->Agents.at(Index).hasNoFlows();
   });
   if (Entry.PendingAgents.empty()) {
     this->finishRound(Ctx, Id, Entry, Out);
--- a/bilberry/routing/holder_search.h
+++ b/bilberry/routing/holder_search.h
@@ -58,6 +58,8 @@
   const targets::OperatorState &Operators;
   /// True once every running agent has had time to send a status.
   bool KnowsAllAgents = false;
+  /// How long a flow without packets may still be open.
+  base::Duration FlowLifetime = std::chrono::seconds(60);
 };
 
 /// The agent to which a flow's packets are sent from now on.
@@ -148,7 +150,10 @@
 
   void startRound(const SearchContext &Ctx, const packet::FlowId &Id,
                   Search &Entry);
-  void addNewAgents(Search &Entry) const;
+  void addNewAgents(const SearchContext &Ctx, const packet::FlowId &Id,
+                    Search &Entry) const;
+  bool mayHoldFlow(const SearchContext &Ctx, const packet::FlowId &Id,
+                   members::AgentIndex Index) const;
   void repeatQueries(const SearchContext &Ctx, const packet::FlowId &Id,
                      Search &Entry, packet::PacketActions &Out);
   void finishRound(const SearchContext &Ctx, const packet::FlowId &Id,
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -72,7 +72,11 @@
     return;
   }
   const AgentView &Holder = this->Agents.at(It->second.Holder);
-  if (Holder.IsGone) {
+  bool HasEnded =
+      Holder.IsGone &&
+      !this->Agents.mayStillServe(Now, It->second.Holder, this->Self.DataCentre,
+                                  this->flowLifetime());
+  if (HasEnded) {
     Out.Resets.push_back({It->first, Packet.Acknowledged});
     Out.Decisions.push_back({"flow-reset", It->first, Holder.Data,
                              "its agent is gone", this->routeVersion()});
@@ -308,7 +312,8 @@
 
 SearchContext PacketRouter::searchContext(base::TimePoint Now) const {
   return {Now, *this->Operators,
-          this->HasMembers && Now - this->StartedAt >= AgentDiscoveryTime};
+          this->HasMembers && Now - this->StartedAt >= AgentDiscoveryTime,
+          this->flowLifetime()};
 }
 
 void PacketRouter::search(base::TimePoint Now, const Packet &Packet,
@@ -400,11 +405,17 @@
 
 // Timeouts.
 
-void PacketRouter::expireFlows(base::TimePoint Now) {
+// How long a flow without packets may still be open. Twice the idle timeout,
+// since the upstream's own timer may start later.
+base::Duration PacketRouter::flowLifetime() const {
   const auto &Routes = this->Operators->Routes;
-  base::Duration Lifetime = Routes && Routes->IdleTimeout > base::Duration(0)
-                                ? 2 * Routes->IdleTimeout
-                                : DefaultFlowLifetime;
+  return Routes && Routes->IdleTimeout > base::Duration(0)
+             ? 2 * Routes->IdleTimeout
+             : DefaultFlowLifetime;
+}
+
+void PacketRouter::expireFlows(base::TimePoint Now) {
+  base::Duration Lifetime = this->flowLifetime();
   std::erase_if(this->Flows, [&](const auto &Known) {
     const KnownFlow &Flow = Known.second;
     bool IsShort = Flow.IsClosing || Flow.IsOpening;
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -152,6 +152,7 @@
                 const wire::AgentStatus &Status, packet::PacketActions &Out);
   void sendRecalledFlows(const base::Address &To, members::AgentIndex Index,
                          packet::PacketActions &Out);
+  base::Duration flowLifetime() const;
   void expireFlows(base::TimePoint Now);
   packet::HopMark mark(packet::HopTag Tag) const;
   uint64_t routeVersion() const;
--- a/bilberry/settings/packet_settings.cc
+++ b/bilberry/settings/packet_settings.cc
@@ -13,6 +13,8 @@
 
 // first-port + 1 must be a valid port too.
 static constexpr uint64_t MaxFirstPort = 65534;
+static constexpr double MinStopGraceSeconds = 2;
+static constexpr double MaxStopGraceSeconds = 3600;
 static constexpr uint64_t MinFlowTableSize = 1000;
 static constexpr uint64_t MaxFlowTableSize = 10000000;
 static constexpr uint64_t MaxColdTolerance = 100000;
@@ -29,17 +31,35 @@
   return Parsed.value().Ip;
 }
 
-static base::Result<double> parseColdFactor(std::string_view Text) {
+static std::optional<double> parseNumber(std::string_view Text, double Min,
+                                         double Max) {
   double Value = 0;
   auto [End, Fault] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Value);
   bool IsNumber = Fault == std::errc() && End == Text.data() + Text.size();
-  if (!IsNumber || !(Value >= 0 && Value <= MaxColdFactor)) {
+  bool IsInRange = IsNumber && Value >= Min && Value <= Max;
+  return IsInRange ? std::optional(Value) : std::nullopt;
+}
+
+static base::Result<double> parseColdFactor(std::string_view Text) {
+  if (std::optional<double> Value = parseNumber(Text, 0, MaxColdFactor)) {
+    return *Value;
+  }
+  return base::Error{base::ErrorCode::OutOfRange,
+                     "'" + std::string(Text) +
+                         "' is not a number from 0 to 1000"};
+}
+
+static base::Result<base::Duration> parseStopGrace(std::string_view Text) {
+  std::optional<double> Value =
+      parseNumber(Text, MinStopGraceSeconds, MaxStopGraceSeconds);
+  if (!Value) {
     return base::Error{base::ErrorCode::OutOfRange,
                        "'" + std::string(Text) +
-                           "' is not a number from 0 to 1000"};
+                           "' is not a number of seconds from 2 to 3600"};
   }
-  return Value;
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(*Value));
 }
 
 // Returns an empty section if the section is missing, so that each required
@@ -103,6 +123,8 @@
       base::MemberName(Reader.required("name", parseName).value_or(""));
   Value.DataCentre = base::DataCentreName(
       Reader.required("data-centre", parseName).value_or(""));
+  Value.StopGrace =
+      Reader.optional("stop-grace", parseStopGrace).value_or(Value.StopGrace);
   if (Role == MemberRole::Balancer) {
     Value.MaxFlows =
         Reader
--- a/bilberry/settings/packet_settings.h
+++ b/bilberry/settings/packet_settings.h
@@ -39,6 +39,8 @@
   /// multiplies the operators' rate; Tolerance is a number of flows per second
   /// added to it.
   admission::ColdRateLimit Cold;
+  /// The time from the stop signal until the platform kills the process.
+  base::Duration StopGrace = std::chrono::seconds(6);
   /// Capacity of a balancer's flow table.
   size_t MaxFlows = 300000;
   StoreSettings Store;
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -113,6 +113,23 @@
   EXPECT_EQ(this->sendCallerPacket(7, true, 1, 0), packet::HopTag::None);
 }
 
+// An upstream that drains is about to leave with its machine. Its agent must
+// keep relaying after a stop signal until the upstream has left and the flows
+// that it still had are reset. Otherwise a stopped agent starts again soon.
+TEST_F(PacketAgentTest, OutlastsADrainingUpstream) {
+  for (bool IsDraining : {false, true}) {
+    this->Report.IsDraining = IsDraining;
+    this->sendHeartbeat();
+    this->Agent.onStop(this->Clock.now(), this->Out);
+    EXPECT_EQ(this->Agent.isReadyToExit(), !IsDraining);
+  }
+  this->Agent.onLeave(this->Clock.now(), this->Report.Id, this->Out);
+  EXPECT_FALSE(this->Agent.isReadyToExit());
+  this->Clock.advance(agent::ResetDelayAfterLeave + milliseconds(100));
+  this->Agent.onTick(this->Clock.now(), this->Out);
+  EXPECT_TRUE(this->Agent.isReadyToExit());
+}
+
 TEST_F(PacketAgentTest, AnnouncesFreeCapacityAtOnce) {
   this->Agent.onMessage(this->Clock.now(), Balancer,
                         wire::BalancerHello{base::MemberName("b"), 1, {}},
--- a/bilberry/testing/packet_components_test.cc
+++ b/bilberry/testing/packet_components_test.cc
@@ -270,6 +270,7 @@
 constexpr char AgentText[] = R"([process]
 name = side-1
 data-centre = mobile
+stop-grace = 6.5
 [listen]
 ip = 10.1.0.12
 callers = 10.1.0.12:8172
@@ -294,6 +295,7 @@
   EXPECT_EQ(base::addressText(Value.messageAddress()), "10.1.0.12:7720");
   EXPECT_EQ(base::addressText(Value.forwardingAddress()), "10.1.0.12:7721");
   EXPECT_DOUBLE_EQ(Value.Cold.Factor, 1.5);
+  EXPECT_EQ(Value.StopGrace, milliseconds(6500));
   EXPECT_EQ(Value.Cold.Tolerance, 5U);
 }
 
