Send statuses to those who use them, and let two balancers follow the store

Change: agent::StatusReceivers sends every status to the balancers of the same data centre, and once a second to two ranked ones of each other, which pass it on (routing::PeerBalancers). Flows are listed only where their callers' packets arrive. Hello messages to other data centres go out each 10 s, and each second to an agent that is silent. Two ranked balancers of a data centre follow the members in the store; the others suspend their watch as long as these say that their view is current. Statuses have a sequence number, so that a passed one never replaces a newer one. Old agents and balancers work beside new ones: new fields are appended, and a balancer that names no data centre gets everything.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -39,8 +39,9 @@
                          const targets::OperatorStateCache &StateCache)
     : Self(std::move(Self)), StartedAt(StartedAt), UnpausedSince(StartedAt),
       StateCache(StateCache), Operators(StateCache.current()),
-      Admission(this->Self.DataCentre, Cold, StartedAt), NextStatus(StartedAt),
-      LastClockReading(StartedAt) {}
+      Admission(this->Self.DataCentre, Cold, StartedAt),
+      Balancers(this->Self.Name, this->Self.DataCentre), NextStatus(StartedAt),
+      NextRelayedStatus(StartedAt), LastClockReading(StartedAt) {}
 
 admission::NewFlowContext PacketAgent::openingContext(base::TimePoint Now) {
   this->detectPause(Now);
@@ -285,7 +286,7 @@
   Out.Decisions.push_back({"flow-reset", Id, {}, Reason, 0});
   ++this->Counts.Resets;
   if (Flow.IsAnnounced) {
-    this->UnannouncedEnded.push_back(Id);
+    this->changesFor(Flow).Ended.push_back(Id);
   }
   this->Flows.setAwaitingResponse(Flow, false);
   this->Flows.setStage(Flow, FlowStage::Ending);
@@ -339,7 +340,7 @@
   }
   this->Admission.recordResponse();
   if (this->condition(this->openingContext(Now)) != this->LastSentCondition) {
-    this->broadcastStatus(Now, Out);
+    this->sendStatus(Now, true, Out);
   }
   return Outcome;
 }
@@ -357,7 +358,7 @@
                           PacketActions &Out) {
   if (this->Upstream.removeRun(Id)) {
     this->UpstreamLeftAt = Now;
-    this->broadcastStatus(Now, Out);
+    this->sendStatus(Now, true, Out);
   }
 }
 
@@ -369,7 +370,7 @@
   if (const auto *Hello = std::get_if<wire::BalancerHello>(&Message)) {
     this->onBalancerHello(Now, From, *Hello, Out);
   } else if (const auto *Recalled = std::get_if<wire::KnownFlows>(&Message)) {
-    this->onFlowsRecalled(Now, *Recalled);
+    this->onFlowsRecalled(Now, From, *Recalled);
   } else if (const auto *Query = std::get_if<wire::HolderQuery>(&Message)) {
     this->onHolderQuery(Now, From, *Query, Out);
   }
@@ -379,18 +380,24 @@
                                   const base::Address &From,
                                   const wire::BalancerHello &Hello,
                                   PacketActions &Out) {
-  Balancer &Known = this->Balancers[From];
-  bool IsNew = Known.Run != Hello.Run;
-  Known = {Hello.Run, Now};
+  bool IsNew = this->Balancers.record(Now, From, Hello);
   if (Hello.Documents.Changed > this->NewestDocumentsVersion.Changed) {
     this->NewestDocumentsVersion = Hello.Documents;
   }
-  if (!IsNew) {
+  if (!IsNew && !Hello.AsksForStatus) {
     return;
   }
   wire::AgentStatus Status = this->status(Now);
+  const base::DataCentreName &DataCentre =
+      this->Balancers.dataCentreOf(From.Ip);
+  if (DataCentre == this->Self.DataCentre) {
+    Status.NearBalancers = this->Balancers.nearBalancers(Now);
+  }
   for (auto &[Id, Flow] : this->Flows.all()) {
-    if (!Flow.IsAnnounced || Flow.Stage != FlowStage::Open) {
+    bool IsListed =
+        IsNew && Flow.IsAnnounced && Flow.Stage == FlowStage::Open &&
+        this->Balancers.dataCentreOf(Flow.Balancer.Ip) == DataCentre;
+    if (!IsListed) {
       continue;
     }
     Status.Opened.push_back(Id);
@@ -404,13 +411,16 @@
 
 // Restores the flows that a previous run of this process had published.
 void PacketAgent::onFlowsRecalled(base::TimePoint Now,
+                                  const base::Address &From,
                                   const wire::KnownFlows &Recalled) {
   if (Recalled.AgentRun != this->Self.Run) {
     return;
   }
   for (const FlowId &Id : Recalled.Flows) {
     if (!this->Flows.find(Id)) {
-      this->Flows.start(Now, Id, FlowStage::Open).IsAnnounced = true;
+      HeldFlow &Flow = this->Flows.start(Now, Id, FlowStage::Open);
+      Flow.IsAnnounced = true;
+      Flow.Balancer = From;
     }
   }
 }
@@ -479,6 +489,7 @@
   Status.Flows = this->Flows.inStage(FlowStage::Open);
   Status.KnowsAllFlows = this->knowsAllFlows(Now);
   Status.Documents = {Context.Operators.Changed, this->Self.Pages};
+  Status.Sequence = ++this->LastSequence;
   if (const auto &Report = this->Upstream.currentRun()) {
     Status.Service = Report->Service;
     Status.Slots = std::max<uint32_t>(1, Report->Slots);
@@ -513,33 +524,57 @@
                  Now - Flow.OpenedAt >= MinAge;
     if (IsDue) {
       Flow.IsAnnounced = true;
-      this->UnannouncedOpened.push_back(Id);
+      this->changesFor(Flow).Opened.push_back(Id);
     }
   }
 }
 
-// Sends the status to every balancer. Long lists of flows are split into
-// several messages.
-void PacketAgent::broadcastStatus(base::TimePoint Now, PacketActions &Out) {
+PacketAgent::FlowChanges &PacketAgent::changesFor(const HeldFlow &Flow) {
+  return this->Unannounced[this->Balancers.dataCentreOf(Flow.Balancer.Ip)];
+}
+
+// Sends the status to the balancers of this data centre, and to those of others
+// that pass it on if IncludesRelays. Flows go only to the data centres where
+// their callers' packets arrive.
+void PacketAgent::sendStatus(base::TimePoint Now, bool IncludesRelays,
+                             PacketActions &Out) {
   wire::AgentStatus Status = this->status(Now);
   this->LastSentCondition = Status.Condition;
+  this->LastSentKnowsAllFlows = Status.KnowsAllFlows;
   this->NextStatus = Now + StatusInterval;
   this->LastStatusAt = Now;
   this->IsCapacityAnnounced = true;
-  std::vector<base::Address> Receivers;
-  for (const auto &[Address, Known] : this->Balancers) {
-    Receivers.push_back(Address);
-  }
-  do {
-    auto TakeBatch = [](std::vector<FlowId> &From, std::vector<FlowId> &To) {
-      size_t Count = std::min(From.size(), wire::MaxFlowsPerMessage / 2);
-      To.assign(From.end() - static_cast<std::ptrdiff_t>(Count), From.end());
-      From.resize(From.size() - Count);
-    };
-    TakeBatch(this->UnannouncedOpened, Status.Opened);
-    TakeBatch(this->UnannouncedEnded, Status.Ended);
-    Out.Messages.push_back({Receivers, Status});
-  } while (!this->UnannouncedOpened.empty() || !this->UnannouncedEnded.empty());
+  if (IncludesRelays) {
+    this->NextRelayedStatus = Now + RelayInterval;
+    std::vector<base::Address> Relays = this->Balancers.relays(Now);
+    if (!Relays.empty()) {
+      Out.Messages.push_back({std::move(Relays), Status});
+    }
+    Status.NearBalancers = this->Balancers.nearBalancers(Now);
+  }
+  // So that the loop includes this data centre even without changes.
+  (void)this->Unannounced[this->Balancers.local()];
+  this->sendFlowChanges(std::move(Status), Out);
+}
+
+// Long lists of flows are split into several messages.
+void PacketAgent::sendFlowChanges(wire::AgentStatus Status,
+                                  PacketActions &Out) {
+  auto TakeBatch = [](std::vector<FlowId> &From, std::vector<FlowId> &To) {
+    size_t Count = std::min(From.size(), wire::MaxFlowsPerMessage / 2);
+    To.assign(From.end() - static_cast<std::ptrdiff_t>(Count), From.end());
+    From.resize(From.size() - Count);
+  };
+  for (auto &[DataCentre, Changes] : this->Unannounced) {
+    std::vector<base::Address> Receivers =
+        this->Balancers.balancersIn(DataCentre);
+    do {
+      TakeBatch(Changes.Opened, Status.Opened);
+      TakeBatch(Changes.Ended, Status.Ended);
+      Out.Messages.push_back({Receivers, Status});
+    } while (!Changes.Opened.empty() || !Changes.Ended.empty());
+  }
+  this->Unannounced.clear();
 }
 
 // Sends the status once the upstream can accept new flows again: until then,
@@ -555,7 +590,7 @@
                  this->Admission.remainingNewFlows(Context) > 0 &&
                  admission::hasWaitingCapacity(Context);
   if (HasRoom) {
-    this->broadcastStatus(Now, Out);
+    this->sendStatus(Now, false, Out);
   }
 }
 
@@ -564,7 +599,7 @@
   const auto &Run = this->Upstream.currentRun();
   this->OutlastsUpstream = Run && Run->IsDraining;
   this->announceOpened(Now, base::Duration(0));
-  this->broadcastStatus(Now, Out);
+  this->sendStatus(Now, true, Out);
 }
 
 bool PacketAgent::isReadyToExit() const {
@@ -582,21 +617,24 @@
     this->UpstreamLeftAt.reset();
   }
   this->announceFreeCapacity(Now, Out);
+  // Balancers wait for this agent in searches until they know.
+  if (this->knowsAllFlows(Now) != this->LastSentKnowsAllFlows) {
+    this->sendStatus(Now, true, Out);
+    return;
+  }
   if (Now < this->NextStatus) {
     return;
   }
-  std::erase_if(this->Balancers, [&](const auto &Known) {
-    return Now - Known.second.LastMessageAt > BalancerExpiry;
-  });
+  this->Balancers.expire(Now);
   // Twice the idle timeout, since the upstream's own timer may start later.
   this->Flows.expire(Now, 2 * this->idleTimeout(),
                      [&](const FlowId &Id, const HeldFlow &Flow) {
                        if (Flow.IsAnnounced) {
-                         this->UnannouncedEnded.push_back(Id);
+                         this->changesFor(Flow).Ended.push_back(Id);
                        }
                      });
   this->announceOpened(Now, MinPublishAge);
-  this->broadcastStatus(Now, Out);
+  this->sendStatus(Now, Now >= this->NextRelayedStatus, Out);
 }
 
 } // namespace bilberry::agent
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -13,6 +13,7 @@
 #define BILBERRY_AGENT_PACKET_AGENT_H
 
 #include "bilberry/admission/new_flow_admission.h"
+#include "bilberry/agent/status_receivers.h"
 #include "bilberry/members/upstream_record.h"
 #include "bilberry/packet/packet_actions.h"
 #include "bilberry/routing/held_flows.h"
@@ -24,16 +25,15 @@
 
 namespace bilberry::agent {
 
-/// Interval of the status messages to each balancer.
+/// Interval of the status messages to the balancers of the same data centre.
 inline constexpr base::Duration StatusInterval = std::chrono::milliseconds(250);
+/// Interval of the status messages to other data centres, and of the lists of
+/// balancers in those to the same data centre.
+inline constexpr base::Duration RelayInterval = std::chrono::seconds(1);
 /// Minimum time between a status and one that announces free capacity: about
 /// the duration of a short request.
 inline constexpr base::Duration MinStatusInterval =
     std::chrono::milliseconds(20);
-/// A balancer without a message for this long gets no more statuses. This is
-/// longer than a store outage, during which a restarted balancer can learn of
-/// agents only from the agents themselves.
-inline constexpr base::Duration BalancerExpiry = std::chrono::seconds(60);
 /// Flows that end before this age are not published: most flows are short, and
 /// the balancer that placed one knows it anyway.
 inline constexpr base::Duration MinPublishAge = std::chrono::milliseconds(300);
@@ -119,9 +119,10 @@
   }
 
 private:
-  struct Balancer {
-    base::Incarnation Run = 0;
-    base::TimePoint LastMessageAt;
+  /// Flows to report to the balancers of one data centre.
+  struct FlowChanges {
+    std::vector<packet::FlowId> Opened;
+    std::vector<packet::FlowId> Ended;
   };
 
   admission::NewFlowContext openingContext(base::TimePoint Now);
@@ -153,7 +154,8 @@
   void onBalancerHello(base::TimePoint Now, const base::Address &From,
                        const wire::BalancerHello &Hello,
                        packet::PacketActions &Out);
-  void onFlowsRecalled(base::TimePoint Now, const wire::KnownFlows &Recalled);
+  void onFlowsRecalled(base::TimePoint Now, const base::Address &From,
+                       const wire::KnownFlows &Recalled);
   void onHolderQuery(base::TimePoint Now, const base::Address &From,
                      const wire::HolderQuery &Query,
                      packet::PacketActions &Out);
@@ -161,7 +163,10 @@
   wire::AgentCondition condition(const admission::NewFlowContext &Context);
   void announceOpened(base::TimePoint Now, base::Duration MinAge);
   void announceFreeCapacity(base::TimePoint Now, packet::PacketActions &Out);
-  void broadcastStatus(base::TimePoint Now, packet::PacketActions &Out);
+  FlowChanges &changesFor(const routing::HeldFlow &Flow);
+  void sendStatus(base::TimePoint Now, bool IncludesRelays,
+                  packet::PacketActions &Out);
+  void sendFlowChanges(wire::AgentStatus Status, packet::PacketActions &Out);
 
   AgentIdentity Self;
   base::TimePoint StartedAt;
@@ -173,15 +178,18 @@
   admission::NewFlowAdmission Admission;
   members::UpstreamRecord Upstream;
   routing::HeldFlows Flows;
-  std::map<base::Address, Balancer> Balancers;
-  std::vector<packet::FlowId> UnannouncedOpened;
-  std::vector<packet::FlowId> UnannouncedEnded;
+  StatusReceivers Balancers;
+  // By the data centre of the balancer that sends the flow's packets.
+  std::map<base::DataCentreName, FlowChanges> Unannounced;
+  uint64_t LastSequence = 0;
   base::TimePoint NextStatus;
+  base::TimePoint NextRelayedStatus;
   base::TimePoint LastClockReading;
   base::TimePoint LastStatusAt;
   // False if an opening packet was refused since the last status.
   bool IsCapacityAnnounced = true;
   wire::AgentCondition LastSentCondition = wire::AgentCondition::NoUpstream;
+  bool LastSentKnowsAllFlows = false;
   std::optional<base::TimePoint> UpstreamLeftAt;
   // The upstream's present run was started while this process was running.
   bool SawUpstreamStart = false;
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -24,7 +24,7 @@
 /// TTL of the lease under which an agent is announced. Balancers get statuses
 /// from agents directly, so the announcement serves only for discovery; a
 /// longer lease needs fewer calls and outlives short outages of the store.
-inline constexpr base::Duration AgentLeaseTtl = std::chrono::seconds(15);
+inline constexpr base::Duration AgentLeaseTtl = std::chrono::seconds(30);
 
 /// How long before the end of its grace period a stopping agent exits at the
 /// latest.
--- /dev/null
+++ b/bilberry/agent/status_receivers.cc
@@ -0,0 +1,82 @@
+#include "bilberry/agent/status_receivers.h"
+
+#include "bilberry/routing/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::agent {
+
+StatusReceivers::StatusReceivers(const base::MemberName &Agent,
+                                 base::DataCentreName DataCentre)
+    : AgentKey(routing::dutyKey(Agent.text())),
+      DataCentre(std::move(DataCentre)) {}
+
+bool StatusReceivers::record(base::TimePoint Now, const base::Address &From,
+                             const wire::BalancerHello &Hello) {
+  Balancer &Known = this->Balancers[From];
+  bool IsNewRun = Known.Run != Hello.Run;
+  Known = {Hello.Run,
+           Hello.DataCentre.empty() ? this->DataCentre : Hello.DataCentre, Now,
+           routing::memberHash(Hello.Name)};
+  return IsNewRun;
+}
+
+void StatusReceivers::expire(base::TimePoint Now) {
+  std::erase_if(this->Balancers, [&](const auto &Known) {
+    return Now - Known.second.LastMessageAt > BalancerExpiry;
+  });
+}
+
+const base::DataCentreName &StatusReceivers::dataCentreOf(uint32_t Ip) const {
+  auto It = this->Balancers.lower_bound({Ip, 0});
+  bool IsKnown = It != this->Balancers.end() && It->first.Ip == Ip;
+  return IsKnown ? It->second.DataCentre : this->DataCentre;
+}
+
+std::vector<base::Address>
+StatusReceivers::balancersIn(const base::DataCentreName &Name) const {
+  std::vector<base::Address> Found;
+  for (const auto &[Address, Known] : this->Balancers) {
+    if (Known.DataCentre == Name) {
+      Found.push_back(Address);
+    }
+  }
+  return Found;
+}
+
+std::vector<base::Address>
+StatusReceivers::nearBalancers(base::TimePoint Now) const {
+  std::vector<base::Address> Found;
+  for (const auto &[Address, Known] : this->Balancers) {
+    if (Known.DataCentre == this->DataCentre &&
+        Now - Known.LastMessageAt <= NearBalancerExpiry) {
+      Found.push_back(Address);
+    }
+  }
+  return Found;
+}
+
+std::vector<base::Address> StatusReceivers::relays(base::TimePoint Now) const {
+  using Ranked = std::pair<uint64_t, base::Address>;
+  std::map<base::DataCentreName, std::vector<Ranked>> ByDataCentre;
+  for (const auto &[Address, Known] : this->Balancers) {
+    if (Known.DataCentre == this->DataCentre ||
+        Now - Known.LastMessageAt > RelayExpiry) {
+      continue;
+    }
+    ByDataCentre[Known.DataCentre].emplace_back(
+        routing::rendezvousScore(Known.NameHash, this->AgentKey), Address);
+  }
+  std::vector<base::Address> Chosen;
+  for (auto &[Name, Candidates] : ByDataCentre) {
+    std::ranges::sort(Candidates, std::greater());
+    for (size_t I = 0; I < std::min(Candidates.size(), RelaysPerDataCentre);
+         ++I) {
+      Chosen.push_back(Candidates[I].second);
+    }
+  }
+  return Chosen;
+}
+
+} // namespace bilberry::agent
--- a/bilberry/balancer/packet_balancer.h
+++ b/bilberry/balancer/packet_balancer.h
@@ -36,7 +36,8 @@
                  node::DocumentSource Documents)
       : Settings(Settings), Node(Settings, Source, std::move(Documents)),
         Router({Settings.Name, Node.run(), Settings.DataCentre,
-                Settings.httpAddress(), Settings.MaxFlows},
+                Settings.httpAddress(), Settings.messageAddress(),
+                Settings.MaxFlows},
                Node.now(), Node.stateCache()),
         Watcher(Source, Node.clock(), Members, MembersRereadInterval,
                 targets::MaxStoreRetryDelay) {}
@@ -130,7 +131,14 @@
       this->updateMembers(Now);
     }
     std::lock_guard Lock(this->Node.mutex());
-    this->Router.onTick(Now, !this->Watcher.isStoreDown(),
+    bool MustFollow = this->Router.mustFollowStore(Now);
+    if (MustFollow == this->IsFollowingSuspended) {
+      this->IsFollowingSuspended = !MustFollow;
+      this->Watcher.setSuspended(!MustFollow);
+      log::info(std::string("event=follow-members now=") +
+                (MustFollow ? "yes" : "no"));
+    }
+    this->Router.onTick(Now, MustFollow && !this->Watcher.isStoreDown(),
                         this->Node.actions());
     this->flushLocked(Now);
     return this->Router.newsHeard();
@@ -175,6 +183,7 @@
   members::MemberTable Members;
   members::MemberWatcher<S, base::BootClock> Watcher;
   base::TimePoint MembersReadAt;
+  bool IsFollowingSuspended = false;
   std::unique_ptr<SocketSet> Sockets;
   std::atomic<bool> IsStopping{false};
   std::jthread WatcherThread;
--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -52,6 +52,9 @@
     if (!View.hasStatus() || View.IsGone) {
       this->setAddresses(Index, Value.Data, Value.Control);
     }
+    if (!View.hasStatus()) {
+      this->setDataCentre(Index, Value.DataCentre);
+    }
     if (!View.IsAnnounced) {
       View.LastStatusAt =
           std::max(View.LastStatusAt, Now - AgentTimeout + FirstStatusTimeout);
@@ -73,16 +76,51 @@
   }
   AgentView &View = this->Views[Index];
   IsNewRun = View.Status.Run != Status.Run;
+  this->setDataCentre(Index, Status.DataCentre);
   this->setAddresses(Index, Status.Data, From);
   View.Status = Status;
   View.Status.Opened.clear();
   View.Status.Ended.clear();
+  View.Status.NearBalancers.clear();
   View.LastStatusAt = Now;
   View.IsGone = false;
   View.NewFlowsSinceStatus = 0;
   return Index;
 }
 
+// A status of another run than the known one is newer only if that one is
+// silent: the run's number says nothing about the order, since it comes from a
+// clock that may be set back.
+AgentIndex AgentViews::applyPassedStatus(base::TimePoint Now,
+                                         const wire::PassedStatus &Passed,
+                                         bool &IsNewRun) {
+  base::TimePoint ReceivedAt = Now - std::chrono::milliseconds(Passed.AgeMs);
+  AgentIndex Known = this->findByName(Passed.Status.Name);
+  if (Known != NoAgent && this->Views[Known].hasStatus()) {
+    const AgentView &View = this->Views[Known];
+    bool IsSameRun = View.Status.Run == Passed.Status.Run;
+    bool IsNewer = IsSameRun && Passed.Status.Sequence != 0
+                       ? Passed.Status.Sequence > View.Status.Sequence
+                       : ReceivedAt > View.LastStatusAt + MaxStatusAge;
+    if (!IsNewer) {
+      return NoAgent;
+    }
+  }
+  AgentIndex Index =
+      this->applyStatus(ReceivedAt, Passed.Control, Passed.Status, IsNewRun);
+  if (Index != NoAgent) {
+    // Decided at the next tick.
+    this->Views[Index].IsGone = Now - ReceivedAt > AgentTimeout;
+  }
+  return Index;
+}
+
+void AgentViews::setDataCentre(AgentIndex Index,
+                               const base::DataCentreName &Name) {
+  this->Views[Index].IsFar =
+      !this->Local.empty() && !Name.empty() && Name != this->Local;
+}
+
 std::vector<AgentIndex> AgentViews::tick(base::TimePoint Now) {
   std::vector<AgentIndex> NewlyGone;
   base::Duration SinceLastTick = Now - this->LastTickAt;
@@ -98,9 +136,10 @@
     }
     base::Duration SinceLastStatus = Now - View.LastStatusAt;
     bool HasStopped = View.Status.Condition == wire::AgentCondition::Stopping &&
-                      !View.IsAnnounced && SinceLastStatus > MaxStatusAge;
-    base::Duration Timeout =
-        View.hasNoFlows() ? EmptyAgentTimeout : AgentTimeout;
+                      !View.IsAnnounced && !View.hasRecentStatus(Now);
+    base::Duration EmptyTimeout =
+        View.IsFar ? EmptyFarAgentTimeout : EmptyAgentTimeout;
+    base::Duration Timeout = View.hasNoFlows() ? EmptyTimeout : AgentTimeout;
     View.IsGone = SinceLastStatus > Timeout || HasStopped;
     if (View.IsGone && !WasGone) {
       NewlyGone.push_back(static_cast<AgentIndex>(I));
@@ -113,7 +152,6 @@
 }
 
 bool AgentViews::mayStillServe(base::TimePoint Now, AgentIndex Index,
-                               const base::DataCentreName &Local,
                                base::Duration FlowLifetime) const {
   const AgentView &View = this->Views[Index];
   bool IsExpired = Now - View.LastStatusAt > FlowLifetime;
@@ -122,8 +160,8 @@
     return false;
   }
   bool WasStopped = View.Status.Condition == wire::AgentCondition::Stopping;
-  bool IsUnreachable = View.Status.DataCentre != Local &&
-                       !this->Reachable.contains(View.Status.DataCentre);
+  bool IsUnreachable =
+      View.IsFar && !this->Reachable.contains(View.Status.DataCentre);
   return WasStopped || IsUnreachable;
 }
 
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -31,6 +31,10 @@
 /// A status older than this is no longer used as a measure of the agent's load:
 /// four statuses were missed.
 inline constexpr base::Duration MaxStatusAge = std::chrono::milliseconds(1100);
+/// The same for an agent in another data centre, whose statuses come less often
+/// and through another balancer.
+inline constexpr base::Duration MaxFarStatusAge =
+    std::chrono::milliseconds(3300);
 /// An agent without a status for this long is gone. Longer than a restart of a
 /// process takes.
 inline constexpr base::Duration AgentTimeout = std::chrono::seconds(5);
@@ -38,6 +42,9 @@
 /// no flows: six statuses were missed.
 inline constexpr base::Duration EmptyAgentTimeout =
     std::chrono::milliseconds(1500);
+/// The same for an agent in another data centre.
+inline constexpr base::Duration EmptyFarAgentTimeout =
+    std::chrono::milliseconds(4500);
 /// An announced agent that sends no status within this time after its
 /// announcement was first read is gone: an announcement stays in the store for
 /// some time after its process has stopped.
@@ -65,6 +72,8 @@
   /// The number of opening packets sent to it since its last status.
   uint32_t NewFlowsSinceStatus = 0;
   base::TimePoint LastHelloSentAt;
+  /// True if the agent is in another data centre than this balancer.
+  bool IsFar = false;
 
   bool hasStatus() const { return this->Status.Run != 0; }
   /// True if, by its last status, the agent has no upstream and no flows that
@@ -77,13 +86,19 @@
            this->Status.Flows == 0;
   }
   bool hasRecentStatus(base::TimePoint Now) const {
-    return this->hasStatus() && Now - this->LastStatusAt <= MaxStatusAge;
+    return this->hasStatus() &&
+           Now - this->LastStatusAt <=
+               (this->IsFar ? MaxFarStatusAge : MaxStatusAge);
   }
 };
 
 /// All agents that a balancer knows of. Not thread-safe.
 class AgentViews {
 public:
+  /// Local is the balancer's data centre.
+  explicit AgentViews(base::DataCentreName Local = {})
+      : Local(std::move(Local)) {}
+
   /// Applies the full list of announcements in the store; agents that it lacks
   /// are no longer announced.
   void applyAnnouncements(base::TimePoint Now,
@@ -93,16 +108,20 @@
   /// reached; IsNewRun is then unchanged.
   AgentIndex applyStatus(base::TimePoint Now, const base::Address &From,
                          const wire::AgentStatus &Status, bool &IsNewRun);
+  /// Applies a status that another balancer has received. A status that isn't
+  /// newer than the known one is ignored, and NoAgent returned.
+  AgentIndex applyPassedStatus(base::TimePoint Now,
+                               const wire::PassedStatus &Passed,
+                               bool &IsNewRun);
   /// Marks agents whose timeout has passed as gone, and returns those that are
   /// newly gone. Must be called several times a second.
   std::vector<AgentIndex> tick(base::TimePoint Now);
 
   /// True if the agent is gone, but its upstream may still serve the flows that
   /// it held: the agent was stopped while its upstream had flows, or no agent
-  /// of its data centre, which isn't Local, is heard. FlowLifetime is how long
-  /// an open flow may be idle.
+  /// of its data centre, which isn't this one, is heard. FlowLifetime is how
+  /// long an open flow may be idle.
   bool mayStillServe(base::TimePoint Now, AgentIndex Index,
-                     const base::DataCentreName &Local,
                      base::Duration FlowLifetime) const;
 
   AgentView &at(AgentIndex Index) { return this->Views[Index]; }
@@ -115,9 +134,11 @@
 
 private:
   AgentIndex add(const base::MemberName &Name);
+  void setDataCentre(AgentIndex Index, const base::DataCentreName &Name);
   void setAddresses(AgentIndex Index, const base::Address &Data,
                     const base::Address &Control);
 
+  base::DataCentreName Local;
   base::TimePoint LastTickAt;
   // The data centres of which at least one agent isn't gone.
   std::set<base::DataCentreName> Reachable;
--- a/bilberry/members/member_watcher.h
+++ b/bilberry/members/member_watcher.h
@@ -42,6 +42,10 @@
         });
   }
 
+  /// Suspends or resumes following the store. The table doesn't change while
+  /// suspended. Thread-safe.
+  void setSuspended(bool Value) { this->Announcements.setSuspended(Value); }
+
   /// Applies the timeouts of members that the store lacks and of silent
   /// members in the table. Must be called about once a second, from any
   /// thread.
--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -94,8 +94,7 @@
   const targets::Route *Route =
       Ctx.Operators.Routes ? Ctx.Operators.Routes->find(Id.Route) : nullptr;
   return (!Route || Route->allows(View.Status.Service)) &&
-         this->Agents.mayStillServe(Ctx.Now, Index, this->DataCentre,
-                                    Ctx.FlowLifetime);
+         this->Agents.mayStillServe(Ctx.Now, Index, Ctx.FlowLifetime);
 }
 
 // Adds the agents that became known since the round started. Agents whose last
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -1,6 +1,7 @@
 #include "bilberry/routing/packet_router.h"
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <utility>
 
@@ -20,7 +21,11 @@
 PacketRouter::PacketRouter(BalancerIdentity Self, base::TimePoint StartedAt,
                            const targets::OperatorStateCache &StateCache)
     : Self(std::move(Self)), StartedAt(StartedAt), StateCache(StateCache),
-      Operators(StateCache.current()), Search(Agents, this->Self.DataCentre) {}
+      Operators(StateCache.current()), Agents(this->Self.DataCentre),
+      Search(Agents, this->Self.DataCentre),
+      Peers({this->Self.Name, this->Self.Run, this->Self.DataCentre,
+             this->Self.Control},
+            StartedAt, Agents) {}
 
 packet::HopMark PacketRouter::mark(HopTag Tag) const {
   return packet::makeHopMark(this->routeVersion(), Tag);
@@ -74,8 +79,7 @@
   const AgentView &Holder = this->Agents.at(It->second.Holder);
   bool HasEnded =
       Holder.IsGone &&
-      !this->Agents.mayStillServe(Now, It->second.Holder, this->Self.DataCentre,
-                                  this->flowLifetime());
+      !this->Agents.mayStillServe(Now, It->second.Holder, this->flowLifetime());
   if (HasEnded) {
     Out.Resets.push_back({It->first, Packet.Acknowledged});
     Out.Decisions.push_back({"flow-reset", It->first, Holder.Data,
@@ -343,6 +347,24 @@
   } else if (const auto *Answer = std::get_if<wire::HolderAnswer>(&Message)) {
     this->Search.onAnswer(this->searchContext(Now), *Answer, Out);
     this->recordLocatedFlows(Now);
+  } else if (const auto *Passed = std::get_if<wire::PassedStatuses>(&Message)) {
+    this->onPassedStatuses(Now, From, *Passed, Out);
+  }
+}
+
+void PacketRouter::onPassedStatuses(base::TimePoint Now,
+                                    const base::Address &From,
+                                    const wire::PassedStatuses &Message,
+                                    PacketActions &Out) {
+  this->Peers.onMessage(Now, From, Message, Out);
+  for (const wire::PassedStatus &Passed : Message.Statuses) {
+    AgentIndex Known = this->Agents.findByName(Passed.Status.Name);
+    bool WasGone = Known != NoAgent && this->Agents.at(Known).IsGone;
+    bool IsNewRun = false;
+    AgentIndex Index = this->Agents.applyPassedStatus(Now, Passed, IsNewRun);
+    if (Index != NoAgent && !this->Agents.at(Index).IsGone) {
+      this->onStatusApplied(Now, Index, IsNewRun, IsNewRun || WasGone, Out);
+    }
   }
 }
 
@@ -356,6 +378,29 @@
   if (Index == NoAgent) {
     return;
   }
+  if (this->Agents.at(Index).IsFar || IsNewRun || WasGone) {
+    this->Peers.passOn(Index);
+  } else {
+    this->Peers.learn(Now, Status.NearBalancers);
+  }
+  this->onStatusApplied(Now, Index, IsNewRun, IsNewRun || WasGone, Out);
+  for (const FlowId &Id : Status.Opened) {
+    this->recordFlow(Now, Id, Index, true);
+    this->Search.onHolderConfirmed(this->searchContext(Now), Id, Index, Out);
+  }
+  for (const FlowId &Id : Status.Ended) {
+    auto It = this->Flows.find(Id);
+    if (It != this->Flows.end() && It->second.Holder == Index) {
+      this->Flows.erase(It);
+    }
+  }
+}
+
+// Uses a status that was received from the agent or from another balancer.
+void PacketRouter::onStatusApplied(base::TimePoint Now, AgentIndex Index,
+                                   bool IsNewRun, bool IsNewlyHeard,
+                                   PacketActions &Out) {
+  const wire::AgentStatus &Status = this->Agents.at(Index).Status;
   if (Status.Documents.Changed > this->NewsHeard.Changed) {
     this->NewsHeard = Status.Documents;
   }
@@ -363,23 +408,13 @@
     this->LastServedAt[Status.Service] = Now;
   }
   this->placeQueuedOpenings(Now, Out);
-  if (IsNewRun || WasGone) {
+  if (IsNewlyHeard) {
     Out.Events.push_back("event=agent-heard agent=" + Status.Name.text() +
                          " run=" + std::to_string(Status.Run) +
                          " data=" + base::addressText(Status.Data));
   }
   if (IsNewRun) {
-    this->sendRecalledFlows(From, Index, Out);
-  }
-  for (const FlowId &Id : Status.Opened) {
-    this->recordFlow(Now, Id, Index, true);
-    this->Search.onHolderConfirmed(this->searchContext(Now), Id, Index, Out);
-  }
-  for (const FlowId &Id : Status.Ended) {
-    auto It = this->Flows.find(Id);
-    if (It != this->Flows.end() && It->second.Holder == Index) {
-      this->Flows.erase(It);
-    }
+    this->sendRecalledFlows(this->Agents.at(Index).Control, Index, Out);
   }
 }
 
@@ -426,6 +461,42 @@
   });
 }
 
+// How long after the last hello the next one to this agent is due, and whether
+// it must ask for a status.
+PacketRouter::HelloPlan PacketRouter::helloPlan(base::TimePoint Now,
+                                                const AgentView &View) {
+  if (View.IsGone) {
+    return {FarHelloInterval, true};
+  }
+  bool IsSilent = Now - View.LastStatusAt > StatusRequestDelay;
+  return {View.IsFar && !IsSilent ? FarHelloInterval : HelloInterval, IsSilent};
+}
+
+void PacketRouter::sendHellos(base::TimePoint Now, PacketActions &Out) {
+  // By whether the agent is asked for a status.
+  std::array<std::vector<base::Address>, 2> Receivers;
+  for (size_t I = 0; I < this->Agents.size(); ++I) {
+    AgentView &View = this->Agents.at(static_cast<AgentIndex>(I));
+    HelloPlan Plan = helloPlan(Now, View);
+    if (Now - View.LastHelloSentAt >= Plan.Interval) {
+      View.LastHelloSentAt = Now;
+      Receivers[Plan.AsksForStatus ? 1 : 0].push_back(View.Control);
+    }
+  }
+  wire::BalancerHello Hello{this->Self.Name,
+                            this->Self.Run,
+                            {this->Operators->Changed, this->Self.Pages},
+                            this->Self.DataCentre,
+                            false};
+  for (bool AsksForStatus : {false, true}) {
+    Hello.AsksForStatus = AsksForStatus;
+    if (!Receivers[AsksForStatus ? 1 : 0].empty()) {
+      Out.Messages.push_back(
+          {std::move(Receivers[AsksForStatus ? 1 : 0]), Hello});
+    }
+  }
+}
+
 void PacketRouter::onTick(base::TimePoint Now, bool AreAnnouncementsCurrent,
                           PacketActions &Out) {
   this->HasMembers = this->HasMembers || AreAnnouncementsCurrent;
@@ -443,21 +514,8 @@
   this->Search.onTick(this->searchContext(Now), Out);
   this->recordLocatedFlows(Now);
   this->placeQueuedOpenings(Now, Out);
-  std::vector<base::Address> HelloReceivers;
-  for (size_t I = 0; I < this->Agents.size(); ++I) {
-    AgentView &View = this->Agents.at(static_cast<AgentIndex>(I));
-    if (Now - View.LastHelloSentAt >= HelloInterval) {
-      View.LastHelloSentAt = Now;
-      HelloReceivers.push_back(View.Control);
-    }
-  }
-  if (!HelloReceivers.empty()) {
-    wire::DocumentsVersion Documents{this->Operators->Changed,
-                                     this->Self.Pages};
-    Out.Messages.push_back(
-        {std::move(HelloReceivers),
-         wire::BalancerHello{this->Self.Name, this->Self.Run, Documents}});
-  }
+  this->Peers.onTick(Now, AreAnnouncementsCurrent, Out);
+  this->sendHellos(Now, Out);
   if (Now >= this->NextExpiry) {
     this->NextExpiry = Now + ExpiryInterval;
     this->expireFlows(Now);
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -16,6 +16,7 @@
 #include "bilberry/members/agent_views.h"
 #include "bilberry/packet/packet_actions.h"
 #include "bilberry/routing/holder_search.h"
+#include "bilberry/routing/peer_balancers.h"
 #include "bilberry/routing/upstream_choice.h"
 #include "bilberry/targets/operator_state_cache.h"
 
@@ -34,8 +35,15 @@
 /// within this time.
 inline constexpr base::Duration PlacementLifetime =
     std::chrono::milliseconds(1500);
-/// Interval between hello messages to an agent.
+/// Interval between hello messages to an agent of the same data centre, or to
+/// one that is silent.
 inline constexpr base::Duration HelloInterval = std::chrono::seconds(1);
+/// The same for an agent of another data centre whose statuses arrive, and for
+/// one that is gone.
+inline constexpr base::Duration FarHelloInterval = std::chrono::seconds(10);
+/// An agent without a status for this long is asked for one.
+inline constexpr base::Duration StatusRequestDelay =
+    std::chrono::milliseconds(1700);
 /// How long a flow without packets is retained if the routes don't set an idle
 /// timeout.
 inline constexpr base::Duration DefaultFlowLifetime = std::chrono::seconds(60);
@@ -57,6 +65,8 @@
   base::DataCentreName DataCentre;
   /// HTTP address from which peers can fetch the operators' documents.
   base::Address Pages;
+  /// UDP address for messages from agents and other balancers.
+  base::Address Control;
   /// Maximum number of flows in the flow table.
   size_t MaxFlows = 300000;
 };
@@ -103,6 +113,10 @@
   void onTick(base::TimePoint Now, bool AreAnnouncementsCurrent,
               packet::PacketActions &Out);
 
+  /// True if this balancer must follow the announcements in the store itself.
+  bool mustFollowStore(base::TimePoint Now) const {
+    return this->Peers.mustFollowStore(Now);
+  }
   /// Returns true once it has routes and the status of at least one agent.
   bool isReady() const;
   const PacketRouterCounts &counts() const { return this->Counts; }
@@ -129,6 +143,11 @@
     base::TimePoint StartedAt;
   };
 
+  struct HelloPlan {
+    base::Duration Interval;
+    bool AsksForStatus = false;
+  };
+
   void onOpening(base::TimePoint Now, const packet::Packet &Packet,
                  packet::PacketActions &Out);
   void placeFlow(base::TimePoint Now, const packet::Packet &Packet,
@@ -150,6 +169,15 @@
   void recordLocatedFlows(base::TimePoint Now);
   void onStatus(base::TimePoint Now, const base::Address &From,
                 const wire::AgentStatus &Status, packet::PacketActions &Out);
+  void onPassedStatuses(base::TimePoint Now, const base::Address &From,
+                        const wire::PassedStatuses &Message,
+                        packet::PacketActions &Out);
+  void onStatusApplied(base::TimePoint Now, members::AgentIndex Index,
+                       bool IsNewRun, bool IsNewlyHeard,
+                       packet::PacketActions &Out);
+  static HelloPlan helloPlan(base::TimePoint Now,
+                             const members::AgentView &View);
+  void sendHellos(base::TimePoint Now, packet::PacketActions &Out);
   void sendRecalledFlows(const base::Address &To, members::AgentIndex Index,
                          packet::PacketActions &Out);
   base::Duration flowLifetime() const;
@@ -167,6 +195,7 @@
   std::unordered_map<packet::FlowId, KnownFlow> Flows;
   std::unordered_map<packet::FlowId, Placement> Placements;
   HolderSearch Search;
+  PeerBalancers Peers;
   admission::NewFlowQueue Queue;
   // When an upstream of each service last accepted new flows.
   std::map<base::ServiceName, base::TimePoint> LastServedAt;
--- /dev/null
+++ b/bilberry/routing/peer_balancers.h
@@ -0,0 +1,115 @@
+// The other balancers of the same data centre: passes statuses of agents on to
+// them, and decides which of them follow the agents' announcements in the
+// store.
+//
+// An agent sends its status to all balancers of its own data centre, but only
+// to a few of each other one, and a new agent is known at first only to the
+// balancers that follow the store. Those pass on what the others lack. A
+// balancer that has just started gets all that the others know.
+//
+// Each waiting watch and each change that it reports is a call to the store, so
+// only FollowersPerDataCentre balancers follow it. They are ranked by
+// rendezvous hashing. A balancer follows the store itself unless enough
+// better-ranked ones say that they do and that their view is current. So a
+// lost, cut off or paused follower is replaced without agreement, and a
+// balancer without peers relies on nobody. While two balancers rank
+// differently, more of them follow the store, never fewer.
+//
+// Designed for hundreds of machines, where changes of the members reach the
+// store several times a second during a release.
+
+#ifndef BILBERRY_ROUTING_PEER_BALANCERS_H
+#define BILBERRY_ROUTING_PEER_BALANCERS_H
+
+#include "bilberry/base/clock.h"
+#include "bilberry/base/ids.h"
+#include "bilberry/members/agent_views.h"
+#include "bilberry/packet/packet_actions.h"
+
+#include <map>
+#include <vector>
+
+namespace bilberry::routing {
+
+/// The number of balancers of a data centre that follow the store.
+inline constexpr size_t FollowersPerDataCentre = 2;
+/// Interval of the messages to the other balancers.
+inline constexpr base::Duration PassInterval = std::chrono::milliseconds(500);
+/// A balancer without a message for this long isn't relied on: four messages
+/// were missed.
+inline constexpr base::Duration PeerTimeout = std::chrono::milliseconds(2200);
+/// A balancer that neither sends messages nor is named by an agent for this
+/// long is forgotten.
+inline constexpr base::Duration PeerExpiry = std::chrono::seconds(10);
+/// How long after its start a balancer follows the store in any case: it learns
+/// meanwhile which others do.
+inline constexpr base::Duration FollowingGracePeriod = std::chrono::seconds(3);
+
+/// Identity of a balancer among its peers.
+struct PeerIdentity {
+  base::MemberName Name;
+  base::Incarnation Run = 0;
+  base::DataCentreName DataCentre;
+  /// UDP address for messages.
+  base::Address Control;
+};
+
+/// Not thread-safe.
+class PeerBalancers {
+public:
+  /// Agents must outlive the object.
+  PeerBalancers(PeerIdentity Self, base::TimePoint StartedAt,
+                const members::AgentViews &Agents);
+
+  /// Records the balancers that an agent of this data centre has heard.
+  void learn(base::TimePoint Now, const std::vector<base::Address> &Addresses);
+  /// Records that the others may lack the agent's last status.
+  void passOn(members::AgentIndex Agent);
+  /// Records a message. If it is the first one of a run, the sender is sent all
+  /// statuses. The caller applies the statuses in it.
+  void onMessage(base::TimePoint Now, const base::Address &From,
+                 const wire::PassedStatuses &Message,
+                 packet::PacketActions &Out);
+  /// Sends what is due. Call several times a second. IsStoreCurrent is true if
+  /// this balancer follows the store and its view is current.
+  void onTick(base::TimePoint Now, bool IsStoreCurrent,
+              packet::PacketActions &Out);
+
+  /// True if this balancer must follow the announcements in the store.
+  bool mustFollowStore(base::TimePoint Now) const;
+  /// The number of balancers that were heard recently.
+  size_t heard(base::TimePoint Now) const;
+
+private:
+  struct Peer {
+    base::MemberName Name;
+    base::Incarnation Run = 0;
+    uint64_t Score = 0;
+    bool FollowsStore = false;
+    base::TimePoint LastMessageAt;
+    base::TimePoint LastNamedAt;
+
+    bool isHeard(base::TimePoint Now) const {
+      return this->Run != 0 && Now - this->LastMessageAt <= PeerTimeout;
+    }
+  };
+
+  uint64_t scoreOf(const base::MemberName &Name) const;
+  void send(base::TimePoint Now, const std::vector<base::Address> &To,
+            const std::vector<members::AgentIndex> &AgentIndexes,
+            packet::PacketActions &Out) const;
+
+  PeerIdentity Self;
+  base::TimePoint StartedAt;
+  const members::AgentViews &Agents;
+  uint64_t Score;
+  std::map<base::Address, Peer> Peers;
+  // Agents whose last status is to be passed on, each at most once.
+  std::vector<members::AgentIndex> Pending;
+  base::TimePoint NextPass;
+  bool IsStoreCurrent = false;
+};
+
+} // namespace bilberry::routing
+
+#endif
--- a/bilberry/routing/rendezvous.cc
+++ b/bilberry/routing/rendezvous.cc
@@ -12,7 +12,7 @@
 // Domain separation: the hash input of each kind of key begins with a distinct
 // word, so that a flow, a request and a shard with the same bytes have
 // different inputs.
-enum class KeyKind : uint64_t { Flow = 1, Request = 2, Shard = 3 };
+enum class KeyKind : uint64_t { Flow = 1, Request = 2, Shard = 3, Duty = 4 };
 
 template <size_t Words>
 static base::FlowKey hashWords(const std::array<uint64_t, Words> &Input) {
@@ -45,6 +45,10 @@
       {static_cast<uint64_t>(KeyKind::Shard), textHash(Service.text()), Shard});
 }
 
+base::FlowKey dutyKey(std::string_view Name) {
+  return hashWords<2>({static_cast<uint64_t>(KeyKind::Duty), textHash(Name)});
+}
+
 uint64_t rendezvousScore(uint64_t MemberHash, const base::FlowKey &Key) {
   static_assert(sizeof(base::FlowKey) == 2 * sizeof(uint64_t));
   return XXH3_64bits_withSeed(&Key, sizeof(Key), MemberHash);
--- a/bilberry/routing/rendezvous.h
+++ b/bilberry/routing/rendezvous.h
@@ -11,6 +11,7 @@
 #include "bilberry/base/ids.h"
 #include "bilberry/members/member_table.h"
 
+#include <string_view>
 #include <vector>
 
 namespace bilberry::routing {
@@ -28,6 +29,9 @@
 /// space as flows.
 base::FlowKey requestKey(base::RequestId Id);
 base::FlowKey shardKey(const base::ServiceName &Service, uint32_t Shard);
+/// Returns the key that ranks balancers for an agent, or for a duty that one
+/// data centre has.
+base::FlowKey dutyKey(std::string_view Name);
 
 /// Returns a member's score for a key. MemberHash is memberHash() of its name.
 uint64_t rendezvousScore(uint64_t MemberHash, const base::FlowKey &Key);
--- a/bilberry/store/prefix_watcher.h
+++ b/bilberry/store/prefix_watcher.h
@@ -54,6 +54,17 @@
     }
   }
 
+  /// Suspends or resumes following the prefix. Resuming lists it again; while
+  /// suspended, no call is made. Thread-safe.
+  void setSuspended(bool Value) {
+    std::lock_guard Lock(this->Mutex);
+    this->IsSuspended = Value;
+    if (Value && this->ActiveWatch) {
+      this->ActiveWatch->request_stop();
+    }
+    this->Resumed.notify_all();
+  }
+
   /// Blocks until Stop is requested. From this thread and one at a time, calls
   /// HandleListing(const Listing &) for each listing, HandleEvent(const
   /// WatchEvent &) for each change after it, and HandleError(const base::Error
@@ -64,6 +75,9 @@
   void run(std::stop_token Stop, OnListing &&HandleListing,
            OnEvent &&HandleEvent, OnDown &&HandleError) {
     while (!Stop.stop_requested()) {
+      if (!this->waitUntilResumed(Stop)) {
+        return;
+      }
       this->ListingStartedAt = std::chrono::steady_clock::now();
       base::Result<Listing> List = this->Source.list(this->Prefix);
       if (Stop.stop_requested()) {
@@ -114,6 +128,17 @@
   void setActiveWatch(std::stop_source *Source) {
     std::lock_guard Lock(this->Mutex);
     this->ActiveWatch = Source;
+    // setSuspended() may have been called since the listing began.
+    if (Source && this->IsSuspended) {
+      Source->request_stop();
+    }
+  }
+
+  // Returns false if Stop was requested.
+  bool waitUntilResumed(const std::stop_token &Stop) {
+    std::unique_lock Lock(this->Mutex);
+    return this->Resumed.wait(Lock, Stop,
+                              [this] { return !this->IsSuspended; });
   }
 
   S &Source;
@@ -123,6 +148,8 @@
   std::chrono::steady_clock::time_point ListingStartedAt;
   std::mutex Mutex;
   std::stop_source *ActiveWatch = nullptr;
+  std::condition_variable_any Resumed;
+  bool IsSuspended = false;
 };
 
 } // namespace bilberry::store
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -131,9 +131,9 @@
 }
 
 TEST_F(PacketAgentTest, AnnouncesFreeCapacityAtOnce) {
-  this->Agent.onMessage(this->Clock.now(), Balancer,
-                        wire::BalancerHello{base::MemberName("b"), 1, {}},
-                        this->Out);
+  this->Agent.onMessage(
+      this->Clock.now(), Balancer,
+      wire::BalancerHello{base::MemberName("b"), 1, {}, {}, false}, this->Out);
   for (uint16_t Port = 1; Port <= 6; ++Port) {
     ASSERT_EQ(this->sendCallerPacket(Port, true, 1, 0), packet::HopTag::None);
     this->sendUpstreamPacket(Port, true, 1000, 0);
--- a/bilberry/wire/relay_message.h
+++ b/bilberry/wire/relay_message.h
@@ -1,4 +1,4 @@
-// Control datagrams between a balancer and the agents: membership and load, the
+// Control datagrams between balancers and agents: membership and load, the
 // locations of flows, and the version of the operators' documents (routes
 // and evacuations, in the store) at each process.
 //
@@ -32,14 +32,18 @@
   MSGPACK_DEFINE(Changed, Pages); // NOLINT
 };
 
-/// Balancer to agent: requests an AgentStatus. Run is the balancer's
-/// incarnation, as in the other messages the sender's.
+/// Balancer to agent: the balancer is running. The agent answers the first one
+/// of a run with an AgentStatus, and later ones if AsksForStatus is set. Run is
+/// the balancer's incarnation, as in the other messages the sender's.
 struct BalancerHello {
   base::MemberName Name;
   base::Incarnation Run = 0;
   DocumentsVersion Documents;
+  base::DataCentreName DataCentre;
+  bool AsksForStatus = false;
 
-  MSGPACK_DEFINE(Name, Run, Documents); // NOLINT
+  MSGPACK_DEFINE(Name, Run, Documents, DataCentre,
+                 AsksForStatus); // NOLINT
 };
 
 /// Balancer to agent, once per incarnation of the agent: the flows that the
@@ -65,7 +69,8 @@
   Stopping = 4,
 };
 
-/// Agent to balancer, a few times per second and on each change.
+/// Agent to balancer, a few times per second and on each change. Balancers pass
+/// it on to others in their data centre.
 struct AgentStatus {
   base::MemberName Name;
   base::Incarnation Run = 0;
@@ -89,11 +94,40 @@
   /// Flows newly held and flows ended since the last status.
   std::vector<packet::FlowId> Opened;
   std::vector<packet::FlowId> Ended;
+  /// Increases with each status of a run. 0 from an agent that doesn't count.
+  uint64_t Sequence = 0;
+  /// Message addresses of the balancers in the agent's data centre that it has
+  /// heard recently, so that they learn of each other. Not in every status.
+  std::vector<base::Address> NearBalancers;
 
   MSGPACK_DEFINE(Name, Run, DataCentre, Service, Data, Condition, Slots,
                  WaitingFlows, Flows, RemainingNewFlows, KnowsAllFlows,
-                 Documents, Opened,
-                 Ended); // NOLINT
+                 Documents, Opened, Ended, Sequence,
+                 NearBalancers); // NOLINT
+};
+
+/// A status that the sender received from its agent, without lists of flows.
+struct PassedStatus {
+  /// The agent's address for messages.
+  base::Address Control;
+  /// How long before this message the sender received the status.
+  uint32_t AgeMs = 0;
+  AgentStatus Status;
+
+  MSGPACK_DEFINE(Control, AgeMs, Status); // NOLINT
+};
+
+/// Balancer to the other balancers of its data centre, twice a second: what it
+/// has received from agents that don't send to all of them.
+struct PassedStatuses {
+  base::MemberName Name;
+  base::Incarnation Run = 0;
+  base::DataCentreName DataCentre;
+  /// The sender follows the announcements in the store, and they are current.
+  bool FollowsStore = false;
+  std::vector<PassedStatus> Statuses;
+
+  MSGPACK_DEFINE(Name, Run, DataCentre, FollowsStore, Statuses); // NOLINT
 };
 
 /// Balancer to agent: asks which of these flows the agent holds, in order to
@@ -124,13 +158,15 @@
   MSGPACK_DEFINE(Name, Run, Flows, Presences); // NOLINT
 };
 
-/// Any control message between a balancer and an agent; none is passed on.
+/// Any control message between a balancer and an agent or another balancer.
 /// New alternatives must be appended: the index is part of the wire format.
 using RelayMessage = std::variant<BalancerHello, KnownFlows, AgentStatus,
-                                  HolderQuery, HolderAnswer>;
+                                  HolderQuery, HolderAnswer, PassedStatuses>;
 
 /// The maximum number of flows in one message, so that it fits a datagram.
 inline constexpr size_t MaxFlowsPerMessage = 40;
+/// The maximum number of statuses in one message, for the same reason.
+inline constexpr size_t MaxStatusesPerMessage = 6;
 
 /// Parses a message. Errors: Malformed. Never throws, even on arbitrary bytes.
 /// Thread-safe.
