Ask announced agents for their status each second, and again after a search

Change: a silent agent is asked each second for 30 s. A search doesn't conclude that no agent holds a flow if an agent was heard for the first time, or again, since its last round began.

--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -75,6 +75,7 @@
     return NoAgent;
   }
   AgentView &View = this->Views[Index];
+  this->Arrivals += View.IsGone || !View.hasStatus() ? 1 : 0;
   IsNewRun = View.Status.Run != Status.Run;
   this->setDataCentre(Index, Status.DataCentre);
   this->setAddresses(Index, Status.Data, From);
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -131,6 +131,9 @@
   /// The agent of that name, or NoAgent.
   AgentIndex findByName(const base::MemberName &Name) const;
   size_t size() const { return this->Views.size(); }
+  /// How often an agent was heard for the first time or after it was gone. A
+  /// search that was under way then has not asked it.
+  uint64_t arrivals() const { return this->Arrivals; }
 
 private:
   AgentIndex add(const base::MemberName &Name);
@@ -139,6 +142,7 @@
                     const base::Address &Control);
 
   base::DataCentreName Local;
+  uint64_t Arrivals = 0;
   base::TimePoint LastTickAt;
   // The data centres of which at least one agent isn't gone.
   std::set<base::DataCentreName> Reachable;
--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -79,6 +79,7 @@
   Entry.PendingAgents.clear();
   Entry.ProbeCandidates.clear();
   Entry.AgentsConsidered = 0;
+  Entry.ArrivalsAtStart = this->Agents.arrivals();
   this->addNewAgents(Ctx, Id, Entry);
   this->FlowsToQuery.push_back(Id);
 }
@@ -216,6 +217,7 @@
   // the first one have arrived.
   bool IsHeldByNone =
       Entry.AllReplied && Ctx.KnowsAllAgents &&
+      Entry.ArrivalsAtStart == this->Agents.arrivals() &&
       Entry.RoundStartedAt - Entry.SearchStartedAt >= UnknownConfirmationDelay;
   if (IsHeldByNone) {
     Out.Resets.push_back({Id, Entry.LastAcknowledged});
--- a/bilberry/routing/holder_search.h
+++ b/bilberry/routing/holder_search.h
@@ -131,6 +131,8 @@
     base::TimePoint LastPacketAt;
     /// Replies are expected within HolderAnswerTimeout of LastQueriedAt.
     bool IsAwaitingReplies = false;
+    /// AgentViews::arrivals() when this round started.
+    uint64_t ArrivalsAtStart = 0;
     /// Number of agents considered in this round, by index.
     size_t AgentsConsidered = 0;
     /// Agents that haven't replied in this round.
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -465,10 +465,11 @@
 // it must ask for a status.
 PacketRouter::HelloPlan PacketRouter::helloPlan(base::TimePoint Now,
                                                 const AgentView &View) {
-  if (View.IsGone) {
+  base::Duration Silence = Now - View.LastStatusAt;
+  if (Silence > StatusRequestLifetime) {
     return {FarHelloInterval, true};
   }
-  bool IsSilent = Now - View.LastStatusAt > StatusRequestDelay;
+  bool IsSilent = Silence > StatusRequestDelay;
   return {View.IsFar && !IsSilent ? FarHelloInterval : HelloInterval, IsSilent};
 }
 
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -39,8 +39,12 @@
 /// one that is silent.
 inline constexpr base::Duration HelloInterval = std::chrono::seconds(1);
 /// The same for an agent of another data centre whose statuses arrive, and for
-/// one that is gone.
+/// one that has long been silent.
 inline constexpr base::Duration FarHelloInterval = std::chrono::seconds(10);
+/// How long a silent agent is asked for a status each HelloInterval: as long as
+/// its announcement may outlive it. Some of the messages may be lost.
+inline constexpr base::Duration StatusRequestLifetime =
+    std::chrono::seconds(30);
 /// An agent without a status for this long is asked for one.
 inline constexpr base::Duration StatusRequestDelay =
     std::chrono::milliseconds(1700);
--- /dev/null
+++ b/bilberry/testing/holder_search_test.cc
@@ -0,0 +1,125 @@
+// Tests of a single HolderSearch: when it may conclude that no agent holds a
+// flow.
+
+#include "bilberry/routing/holder_search.h"
+
+#include "bilberry/routing/packet_router.h"
+#include "bilberry/standin/single_route.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace bilberry::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::Address Route = {0xC6120001, 8443};
+
+class HolderSearchTest : public ::testing::Test {
+protected:
+  HolderSearchTest() : Search(Agents, base::DataCentreName("dc")) {}
+
+  void sendStatus(const char *Name) {
+    wire::AgentStatus Status;
+    Status.Name = base::MemberName(Name);
+    Status.Run = 1;
+    Status.DataCentre = base::DataCentreName("dc");
+    Status.Condition = wire::AgentCondition::InService;
+    Status.Flows = 1;
+    bool IsNewRun = false;
+    auto Port = static_cast<uint16_t>(Name[0]);
+    Status.Data = {1, Port};
+    this->Agents.applyStatus(this->Now, {2, Port}, Status, IsNewRun);
+  }
+
+  void tick(milliseconds Time) {
+    this->Now += Time;
+    this->Search.onTick(this->context(), this->Out);
+    this->Search.flush(this->Now, this->Out);
+  }
+
+  void answerAbsent(const char *Name) {
+    wire::HolderAnswer Answer;
+    Answer.Name = base::MemberName(Name);
+    Answer.Run = 1;
+    Answer.Flows = {this->Flow};
+    Answer.Presences = {wire::FlowPresence::Absent};
+    this->Search.onAnswer(this->context(), Answer, this->Out);
+  }
+
+  SearchContext context() const {
+    return {this->Now, this->Operators, true, seconds(60)};
+  }
+
+  base::TimePoint Now{seconds(100)};
+  const packet::FlowId Flow{{0x64400001, 1000}, Route};
+  targets::OperatorState Operators;
+  members::AgentViews Agents;
+  HolderSearch Search;
+  packet::PacketActions Out;
+};
+
+// An agent that was taken to be gone is heard again while the others are being
+// asked for the second time. It may hold the flow.
+TEST_F(HolderSearchTest, AgentHeardDuringTheSearchIsAskedToo) {
+  for (bool IsHeardAgain : {false, true}) {
+    SCOPED_TRACE(IsHeardAgain);
+    this->Out.clear();
+    this->sendStatus("b");
+    for (int I = 0; I < 200; ++I) {
+      this->Now += milliseconds(50);
+      this->Agents.tick(this->Now);
+    }
+    this->sendStatus("a");
+    packet::Packet Packet;
+    Packet.Source = this->Flow.Caller;
+    Packet.Destination = this->Flow.Route;
+    Packet.IsAck = true;
+    this->Search.onUnknownFlowPacket(this->context(), Packet, this->Out);
+    this->tick(milliseconds(20));
+    this->answerAbsent("a");
+    this->tick(milliseconds(200));
+    EXPECT_TRUE(this->Out.Resets.empty());
+    if (IsHeardAgain) {
+      this->sendStatus("b");
+    }
+    this->answerAbsent("a");
+    EXPECT_EQ(this->Out.Resets.empty(), IsHeardAgain);
+    this->Search.cancel(this->Flow);
+  }
+}
+
+// Messages to and from an agent may be lost for seconds while a link is
+// overloaded. A balancer must go on asking an announced agent for its status:
+// it resets the flows of an agent that it doesn't know.
+TEST(PacketRouterHello, AnnouncedAgentIsAskedUntilItIsHeard) {
+  targets::OperatorStateCache StateCache(standin::singleRouteFormat(Route));
+  base::TimePoint Now{seconds(100)};
+  PacketRouter Router({base::MemberName("balancer"),
+                       1,
+                       base::DataCentreName("here"),
+                       {},
+                       {9, 9},
+                       1000},
+                      Now, StateCache);
+  members::Member Agent;
+  Agent.Name = base::MemberName("agent");
+  Agent.DataCentre = base::DataCentreName("elsewhere");
+  Agent.Control = {2, 2};
+  packet::PacketActions Out;
+  for (int I = 0; I < 200; ++I) {
+    Now += milliseconds(50);
+    Router.applyAnnouncements(Now, {Agent});
+    Router.onTick(Now, true, Out);
+  }
+  auto Hellos = std::ranges::count_if(
+      Out.Messages, [](const packet::SendMessage &Action) {
+        return std::holds_alternative<wire::BalancerHello>(Action.Message);
+      });
+  EXPECT_GE(Hellos, 9);
+}
+
+} // namespace
+} // namespace bilberry::routing
