--- a/bilberry/testing/holder_search_test.cc
+++ b/bilberry/testing/holder_search_test.cc
@@ -29,7 +29,7 @@
     Status.Condition = wire::AgentCondition::InService;
     Status.Flows = 1;
     bool IsNewRun = false;
-    auto Port = static_cast<uint16_t>(Name[0]);
+    auto Port = static_cast<uint16_t>(static_cast<unsigned char>(Name[0]));
     Status.Data = {1, Port};
     this->Agents.applyStatus(this->Now, {2, Port}, Status, IsNewRun);
   }
