Send every status also to balancers elsewhere that placed flows lately

The announcement of free capacity reached only near balancers.

Change: a balancer of another data centre that sent an opening packet in the last 3 s gets every status and each announcement of free capacity, as before. Test FreeCapacityTest.IsAnnouncedAtOnce/elsewhere.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -93,6 +93,7 @@
 void PacketAgent::onOpening(base::TimePoint Now, const base::Address &From,
                             const Packet &Packet, PacketActions &Out) {
   FlowId Id = Packet.flowFromCaller();
+  this->Balancers.recordOpening(Now, From.Ip);
   HeldFlow *Known = this->Flows.find(Id);
   bool IsCopy = Known && Known->Stage != FlowStage::Absent &&
                 Now - Known->OpenedAt < OpeningCopyWindow;
@@ -550,6 +551,12 @@
     if (!Relays.empty()) {
       Out.Messages.push_back({std::move(Relays), Status});
     }
+  }
+  std::vector<base::Address> FarPlacers = this->Balancers.farPlacers(Now);
+  if (!FarPlacers.empty()) {
+    Out.Messages.push_back({std::move(FarPlacers), Status});
+  }
+  if (IncludesRelays) {
     Status.NearBalancers = this->Balancers.nearBalancers(Now);
   }
   // So that the loop includes this data centre even without changes.
@@ -571,7 +578,9 @@
     do {
       TakeBatch(Changes.Opened, Status.Opened);
       TakeBatch(Changes.Ended, Status.Ended);
-      Out.Messages.push_back({Receivers, Status});
+      if (!Receivers.empty()) {
+        Out.Messages.push_back({Receivers, Status});
+      }
     } while (!Changes.Opened.empty() || !Changes.Ended.empty());
   }
   this->Unannounced.clear();
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -14,6 +14,7 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/outcome/try.hpp>
 #include <memory>
+#include <optional>
 
 namespace bilberry::agent {
 
@@ -30,6 +31,10 @@
 /// latest.
 inline constexpr base::Duration StopMargin = std::chrono::seconds(1);
 
+/// How long a stopping agent waits for the store to take its withdrawal.
+/// Without it the announcement ends with its lease.
+inline constexpr base::Duration MaxWithdrawalWait = std::chrono::seconds(1);
+
 /// Adds an agent's metrics to a page.
 void addAgentMetrics(const PacketAgent &Agent, metrics::Exposition &Page);
 
@@ -150,10 +155,15 @@
       }
       HasUpstream = this->Agent.upstream().currentRun().has_value();
     }
-    if (!HasUpstream) {
+    if (HasUpstream) {
+      return true;
+    }
+    if (!this->WithdrawalStartedAt) {
+      this->WithdrawalStartedAt = this->Node.now();
       this->AnnouncerThread.request_stop();
     }
-    return HasUpstream || this->IsWithdrawn;
+    return this->IsWithdrawn ||
+           this->Node.now() - *this->WithdrawalStartedAt >= MaxWithdrawalWait;
   }
 
   bool isDraining() const {
@@ -234,6 +244,7 @@
   std::unique_ptr<SocketSet> Sockets;
   // The announcement was withdrawn, or WithdrawTimeout has passed.
   std::atomic<bool> IsWithdrawn{false};
+  std::optional<base::TimePoint> WithdrawalStartedAt;
   std::jthread AnnouncerThread;
 };
 
--- a/bilberry/agent/status_receivers.cc
+++ b/bilberry/agent/status_receivers.cc
@@ -16,12 +16,38 @@
                              const wire::BalancerHello &Hello) {
   Balancer &Known = this->Balancers[From];
   bool IsNewRun = Known.Run != Hello.Run;
+  base::TimePoint LastOpeningAt = Known.LastOpeningAt;
   Known = {Hello.Run,
            Hello.DataCentre.empty() ? this->DataCentre : Hello.DataCentre, Now,
-           routing::memberHash(Hello.Name)};
+           routing::memberHash(Hello.Name), LastOpeningAt};
   return IsNewRun;
 }
 
+void StatusReceivers::recordOpening(base::TimePoint Now, uint32_t Ip) {
+  auto It = this->Balancers.lower_bound({Ip, 0});
+  if (It != this->Balancers.end() && It->first.Ip == Ip) {
+    It->second.LastOpeningAt = Now;
+  }
+}
+
+std::vector<base::Address>
+StatusReceivers::farPlacers(base::TimePoint Now) const {
+  std::vector<base::Address> Found;
+  for (const auto &[Address, Known] : this->Balancers) {
+    if (this->isFarPlacer(Now, Known)) {
+      Found.push_back(Address);
+    }
+  }
+  return Found;
+}
+
+bool StatusReceivers::isFarPlacer(base::TimePoint Now,
+                                  const Balancer &Known) const {
+  return Known.DataCentre != this->DataCentre &&
+         Known.LastOpeningAt != base::TimePoint() &&
+         Now - Known.LastOpeningAt <= PlacementMemory;
+}
+
 void StatusReceivers::expire(base::TimePoint Now) {
   std::erase_if(this->Balancers, [&](const auto &Known) {
     return Now - Known.second.LastMessageAt > BalancerExpiry;
@@ -71,9 +97,11 @@
   std::vector<base::Address> Chosen;
   for (auto &[Name, Candidates] : ByDataCentre) {
     std::ranges::sort(Candidates, std::greater());
-    for (size_t I = 0; I < std::min(Candidates.size(), RelaysPerDataCentre);
-         ++I) {
-      Chosen.push_back(Candidates[I].second);
+    Candidates.resize(std::min(Candidates.size(), RelaysPerDataCentre));
+    for (const auto &[Score, Address] : Candidates) {
+      if (!this->isFarPlacer(Now, this->Balancers.at(Address))) {
+        Chosen.push_back(Address);
+      }
     }
   }
   return Chosen;
--- a/bilberry/agent/status_receivers.h
+++ b/bilberry/agent/status_receivers.h
@@ -7,6 +7,11 @@
 // chosen by rendezvous hashing over the balancers that were heard recently, so
 // that the work is spread evenly and a lost balancer is replaced by itself.
 //
+// When the upstreams of a data centre have a queue, its balancers place flows
+// in others. A balancer that has done so lately gets every status too: with
+// loads that are a second old, all balancers would send their queued flows to
+// the same upstreams at once, and find them full.
+//
 // Designed for hundreds of machines in several data centres, where a status
 // from each agent to each balancer costs more than all callers' packets.
 
@@ -32,6 +37,9 @@
 /// A balancer of another data centre without a message for this long isn't
 /// chosen to pass statuses on: two of its messages were missed.
 inline constexpr base::Duration RelayExpiry = std::chrono::seconds(25);
+/// How long a balancer of another data centre gets every status after it has
+/// sent an opening packet.
+inline constexpr base::Duration PlacementMemory = std::chrono::seconds(3);
 /// A balancer of this data centre that was heard within this time is named to
 /// the others there: three of its messages may be missed.
 inline constexpr base::Duration NearBalancerExpiry =
@@ -48,6 +56,8 @@
   /// centre.
   bool record(base::TimePoint Now, const base::Address &From,
               const wire::BalancerHello &Hello);
+  /// Records an opening packet from the machine with this IP address.
+  void recordOpening(base::TimePoint Now, uint32_t Ip);
   /// Forgets balancers without a message for BalancerExpiry.
   void expire(base::TimePoint Now);
 
@@ -59,8 +69,11 @@
   balancersIn(const base::DataCentreName &Name) const;
   /// The balancers of this data centre that were heard recently.
   std::vector<base::Address> nearBalancers(base::TimePoint Now) const;
-  /// The balancers of the other data centres that pass statuses on.
+  /// The balancers of the other data centres that pass statuses on, without
+  /// those of farPlacers().
   std::vector<base::Address> relays(base::TimePoint Now) const;
+  /// The balancers of other data centres that have sent opening packets lately.
+  std::vector<base::Address> farPlacers(base::TimePoint Now) const;
   /// The data centre of this agent.
   const base::DataCentreName &local() const { return this->DataCentre; }
 
@@ -70,8 +83,11 @@
     base::DataCentreName DataCentre;
     base::TimePoint LastMessageAt;
     uint64_t NameHash = 0;
+    base::TimePoint LastOpeningAt;
   };
 
+  bool isFarPlacer(base::TimePoint Now, const Balancer &Known) const;
+
   base::FlowKey AgentKey;
   base::DataCentreName DataCentre;
   std::map<base::Address, Balancer> Balancers;
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -130,10 +130,19 @@
   EXPECT_TRUE(this->Agent.isReadyToExit());
 }
 
-TEST_F(PacketAgentTest, AnnouncesFreeCapacityAtOnce) {
-  this->Agent.onMessage(
-      this->Clock.now(), Balancer,
-      wire::BalancerHello{base::MemberName("b"), 1, {}, {}, false}, this->Out);
+// Balancers queue flows until an upstream has capacity. Those that placed flows
+// here lately must learn of it at once, in whichever data centre they are.
+class FreeCapacityTest : public PacketAgentTest,
+                         public ::testing::WithParamInterface<const char *> {};
+
+TEST_P(FreeCapacityTest, IsAnnouncedAtOnce) {
+  this->Agent.onMessage(this->Clock.now(), Balancer,
+                        wire::BalancerHello{base::MemberName("b"),
+                                            1,
+                                            {},
+                                            base::DataCentreName(GetParam()),
+                                            false},
+                        this->Out);
   for (uint16_t Port = 1; Port <= 6; ++Port) {
     ASSERT_EQ(this->sendCallerPacket(Port, true, 1, 0), packet::HopTag::None);
     this->sendUpstreamPacket(Port, true, 1000, 0);
@@ -145,12 +154,16 @@
   this->Out.clear();
   this->sendUpstreamPacket(1, false, 1001, 300);
   ASSERT_EQ(this->Out.Messages.size(), 1U);
+  EXPECT_EQ(this->Out.Messages[0].To, std::vector{Balancer});
   const auto *Status =
       std::get_if<wire::AgentStatus>(&this->Out.Messages[0].Message);
   ASSERT_NE(Status, nullptr);
   EXPECT_EQ(Status->WaitingFlows, 5U);
 }
 
+INSTANTIATE_TEST_SUITE_P(PacketAgent, FreeCapacityTest,
+                         ::testing::Values("dc", "elsewhere"));
+
 // During a pause of the machine its upstream may have been replaced. After it,
 // no new flow is admitted until the next heartbeat, however many packets are
 // queued in the socket.
