--- a/bilberry/testing/peer_balancers_test.cc
+++ b/bilberry/testing/peer_balancers_test.cc
@@ -73,6 +73,7 @@
 TEST_F(PeerBalancersTest, AtLeastTwoFollowTheStore) {
   constexpr int Count = 12;
   std::vector<PeerBalancers> All;
+  All.reserve(Count);
   auto IdentityOf = [](int Index) {
     return PeerIdentity{base::MemberName("balancer-" + std::to_string(Index)),
                         1,
@@ -87,6 +88,7 @@
     for (int Round = 0; Round < 10; ++Round) {
       this->Now += milliseconds(500);
       std::vector<bool> Follows;
+      Follows.reserve(Count);
       for (const PeerBalancers &Balancer : All) {
         Follows.push_back(Balancer.mustFollowStore(this->Now));
       }
