--- a/bilberry/routing/peer_balancers.h
+++ b/bilberry/routing/peer_balancers.h
@@ -12,7 +12,7 @@
 // rendezvous hashing. A balancer follows the store itself unless enough
 // better-ranked ones say that they do and that their view is current. So a
 // lost, cut off or paused follower is replaced without agreement, and a
-// balancer without peers relies on nobody. While two balancers rank
+// balancer without peers always does. While two balancers rank
 // differently, more of them follow the store, never fewer.
 //
 // Designed for hundreds of machines, where changes of the members reach the
--- a/bilberry/testing/peer_balancers_test.cc
+++ b/bilberry/testing/peer_balancers_test.cc
@@ -83,8 +83,8 @@
   for (int I = 0; I < Count; ++I) {
     All.emplace_back(IdentityOf(I), this->Now, this->Agents);
   }
-  // Balancer I doesn't hear those for which the bit is set.
-  for (uint32_t Deaf : {0U, 1U, 0x555U, 0xAAAU, 0xFFFU}) {
+  // Messages are lost between the pairs for which a bit is set.
+  for (uint32_t LostPairs : {0U, 1U, 0x555U, 0xAAAU, 0xFFFU}) {
     for (int Round = 0; Round < 10; ++Round) {
       this->Now += milliseconds(500);
       std::vector<bool> Follows;
@@ -94,7 +94,7 @@
       }
       for (int To = 0; To < Count; ++To) {
         for (int From = 0; From < Count; ++From) {
-          bool IsHeard = ((Deaf >> ((To + From) % Count)) & 1U) == 0;
+          bool IsHeard = ((LostPairs >> ((To + From) % Count)) & 1U) == 0;
           if (From != To && IsHeard) {
             All[static_cast<size_t>(To)].onMessage(
                 this->Now, {2, static_cast<uint16_t>(From)},
@@ -107,7 +107,7 @@
           }
         }
       }
-      EXPECT_GE(std::ranges::count(Follows, true), 2) << Deaf;
+      EXPECT_GE(std::ranges::count(Follows, true), 2) << LostPairs;
     }
   }
 }
