--- a/bench/packet_bench.cc
+++ b/bench/packet_bench.cc
@@ -45,10 +45,14 @@
   targets::OperatorStateCache StateCache;
   base::TimePoint Now{std::chrono::hours(1)};
   packet::PacketActions Out;
-  routing::PacketRouter Router{
-      {base::MemberName("b"), 1, base::DataCentreName("dc-0"), {}, 1U << 24U},
-      Now,
-      StateCache};
+  routing::PacketRouter Router{{base::MemberName("b"),
+                                1,
+                                base::DataCentreName("dc-0"),
+                                {},
+                                {},
+                                1U << 24U},
+                               Now,
+                               StateCache};
 };
 
 void placement(benchmark::State &State) {
