--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -110,7 +110,7 @@
   AgentIndex Index =
       this->applyStatus(ReceivedAt, Passed.Control, Passed.Status, IsNewRun);
   if (Index != NoAgent) {
-    // Decided at the next tick.
+    // An old status doesn't show that the agent is still there.
     this->Views[Index].IsGone = Now - ReceivedAt > AgentTimeout;
   }
   return Index;
--- a/bilberry/routing/holder_search.h
+++ b/bilberry/routing/holder_search.h
@@ -11,7 +11,10 @@
 //
 // A flow is reset only after every agent that isn't gone has reported twice,
 // UnknownConfirmationDelay apart, that it doesn't hold the flow. A missing
-// reply costs the caller a retransmission; a wrong reset costs the flow.
+// reply costs the caller a retransmission; a wrong reset costs the flow. If an
+// agent is heard for the first time, or again, during a round, another round
+// follows. An agent that is gone but may still have a serving upstream
+// (AgentViews::mayStillServe) counts as one that hasn't replied.
 //
 // Designed for the load after a complete power failure: each packet of an
 // existing flow starts a search at every balancer while some agents are not yet
--- a/daemons/bilberry_packet_agent.cc
+++ b/daemons/bilberry_packet_agent.cc
@@ -1,7 +1,8 @@
 // bilberry-packet-agent: relays packets for the upstream on the same VM, on the
 // users' platform.
 //
-//   SIGTERM, SIGINT  publish the open flows to the balancers, then exit
+//   SIGTERM, SIGINT  publish the open flows to the balancers, relay until a
+//                    draining upstream has left, then exit
 //   SIGHUP           reload the settings file
 
 #include "bilberry/agent/packet_agent_process.h"
