--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -282,6 +282,91 @@
                      " of them while their request ran there");
 }
 
+// DRAIN while another writer sends heartbeats that lack fields.
+static int ignoredDrain(World &W, bool HasTrouble) {
+  constexpr int64_t DrainMs = 3000;
+  constexpr int64_t MarginMs = 200;
+  constexpr int64_t HeartbeatMs = 770;
+  std::vector<RouteSpec> Routes = {{0, Pairing}, {9, Assess}};
+  W.Platform->put("op/config", configText(W, 7, Routes, 10));
+  buildDeployment(W);
+  W.startAll();
+  Fleet Servers = startServers(W);
+  if (!W.waitUntilReady(Ms(15000))) {
+    return couldNotRun(W, "the balancers aren't ready");
+  }
+  sleepUntil(nowMs() + 5000);
+  int64_t T0 = nowMs();
+  int64_t Born = std::chrono::duration_cast<Ms>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count();
+  std::shared_ptr<ServerRun> Leaving = Servers.PairingA;
+  int64_t NextHeartbeatAt = T0 + 1000;
+  int Sequence = 0;
+  int Number = 0;
+  bool IsDraining = false;
+  bool HasLeft = false;
+  while (nowMs() < T0 + 14000) {
+    int64_t Now = nowMs();
+    if (HasTrouble && Now >= NextHeartbeatAt) {
+      NextHeartbeatAt = Now + HeartbeatMs;
+      std::string Body = "{\"service\":\"pairing\",\"address\":\"" +
+                         text(Leaving->App) +
+                         "\",\"slots\":2,\"state\":\"ready\","
+                         "\"warmup_left_ms\":0,\"seq\":" +
+                         std::to_string(++Sequence) +
+                         ",\"born\":" + std::to_string(Born) + "}";
+      int Status =
+          World::call("PUT", Leaving->Control, "/bilberrylb/instances/i-0ther",
+                      Body, Ms(1000), Leaving->App.Ip);
+      if (Sequence == 1) {
+        W.Out.line("disruption: heartbeats from another writer without `zone` "
+                   "and `version` to " +
+                   text(Leaving->Control) + ", answered " +
+                   std::to_string(Status) + ": " + Body);
+      }
+    }
+    if (!IsDraining && Now >= T0 + 5000) {
+      IsDraining = true;
+      W.drainServer(Leaving);
+    }
+    int64_t AckAt = Leaving->DrainAckAt;
+    if (!HasLeft && AckAt > 0 && Now >= AckAt + DrainMs + 2000) {
+      HasLeft = true;
+      W.leave(Leaving);
+    }
+    for (const char *Zone : {"kl-a", "kl-b"}) {
+      W.openFlow(Zone, W.routeAddress(0), "match-" + std::to_string(++Number),
+                 1, 0, 100);
+    }
+    sleepUntil(Now + 100);
+  }
+  sleepUntil(nowMs() + 4500);
+  int64_t AckAt = Leaving->DrainAckAt;
+  if (AckAt == 0) {
+    return couldNotRun(W, "the draining server has no acknowledgement");
+  }
+  int Late = 0;
+  int Cut = 0;
+  W.look([&](const std::vector<ClientFlow> &Flows,
+             const std::vector<std::shared_ptr<ServerRun>> &) {
+    for (const auto &[At, Key] : Leaving->Openings) {
+      if (At < AckAt + DrainMs + MarginMs) {
+        continue;
+      }
+      ++Late;
+      for (const ClientFlow &Flow : Flows) {
+        Cut += Flow.Key == Key && Flow.Outcome != "answered" ? 1 : 0;
+      }
+    }
+  });
+  return verdict(W, Late > 0,
+                 "DRAIN: " + std::to_string(Late) +
+                     " flows were opened at a draining server later than "
+                     "drain_ms after the acknowledgement, " +
+                     std::to_string(Cut) + " of them got no answer");
+}
+
 // FAILBACK: the most opening packets in any second at a cold server.
 static int mostInOneSecond(const std::vector<ClientFlow> &Flows,
                            const ServerRun &Run) {
@@ -419,6 +504,8 @@
       Code = review::foreignHeartbeat(W, HasTrouble);
     } else if (Case == "cold-restart") {
       Code = review::coldRestart(W, HasTrouble);
+    } else if (Case == "ignored-drain") {
+      Code = review::ignoredDrain(W, HasTrouble);
     } else if (Case == "early-kill") {
       Code = review::earlyKill(W, HasTrouble);
     }
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -473,8 +473,21 @@
   return Run;
 }
 
+void World::drainServer(const std::shared_ptr<ServerRun> &Run) {
+  this->Out.line("server " + Run->Id + " drains");
+  Run->IsDraining = true;
+}
+
+void World::leave(const std::shared_ptr<ServerRun> &Run) {
+  int Status = call("DELETE", Run->Control, "/bilberrylb/instances/" + Run->Id,
+                    "", Ms(1000), Run->App.Ip);
+  this->Out.line("server " + Run->Id + " leaves, answered " +
+                 std::to_string(Status));
+  this->crashServer(Run);
+}
+
 void World::crashServer(const std::shared_ptr<ServerRun> &Run) {
-  this->Out.line("server " + Run->Id + " crashes");
+  this->Out.line("server " + Run->Id + " ends");
   {
     std::lock_guard Lock(this->Mutex);
     Run->IsAlive = false;
@@ -494,19 +507,26 @@
     int64_t Left =
         std::max<int64_t>(0, Run->StartedAt + Run->WarmupMs - nowMs());
     uint64_t Seq = Run->NextSeq++;
+    bool SaysDraining = Run->IsDraining;
     std::string Body =
         "{\"service\":\"" + Run->Service + "\",\"address\":\"" +
         text(Run->App) + "\",\"zone\":\"" + Run->Zone +
         "\",\"version\":\"v1\",\"slots\":" + std::to_string(Run->Slots) +
-        ",\"state\":\"" + (Run->IsDraining ? "draining" : "ready") +
+        ",\"state\":\"" + (SaysDraining ? "draining" : "ready") +
         "\",\"warmup_left_ms\":" + std::to_string(Left) +
         ",\"seq\":" + std::to_string(Seq) +
         ",\"born\":" + std::to_string(Run->BornMs) + "}";
     int Status = call("PUT", Run->Control, "/bilberrylb/instances/" + Run->Id,
                       Body, Ms(1000), Run->App.Ip);
-    if (Seq <= 2 || Status != 200) {
+    bool IsDrainAck =
+        SaysDraining && Status == 200 && Run->DrainAckAt.load() == 0;
+    if (IsDrainAck) {
+      Run->DrainAckAt = nowMs();
+    }
+    if (Seq <= 2 || Status != 200 || IsDrainAck) {
       this->Out.line("server " + Run->Id + " heartbeat seq " +
-                     std::to_string(Seq) + " answered " +
+                     std::to_string(Seq) +
+                     (SaysDraining ? ", draining, answered " : " answered ") +
                      std::to_string(Status));
     }
     NextAt = nowMs() + (Status == 200 ? Run->HeartbeatMs : 200);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -156,7 +156,9 @@
   int64_t WarmupMs = 0;    // how long it is cold
   int Slots = 2;
   uint64_t NextSeq = 1;
-  bool IsDraining = false;
+  std::atomic<bool> IsDraining{false};
+  /// When a heartbeat that says so was first acknowledged, or 0.
+  std::atomic<int64_t> DrainAckAt{0};
   int Socket = -1;
   Address App, Outbound, Control;
   struct Flow {
@@ -232,6 +234,10 @@
                                          const std::string &Service,
                                          const std::string &Zone, int Host,
                                          ServerOptions Options);
+  /// The server says from now on that it is leaving.
+  void drainServer(const std::shared_ptr<ServerRun> &Run);
+  /// Says that the server leaves, and ends it.
+  void leave(const std::shared_ptr<ServerRun> &Run);
   /// Ends a server at once; its flows are lost.
   void crashServer(const std::shared_ptr<ServerRun> &Run);
 
