--- a/review/standin/main.cc
+++ b/review/standin/main.cpp
@@ -2,7 +2,7 @@
 // environment it leaves the disruption out. Exits with 1 if the rule was
 // broken, 0 if it held, and 2 if the case couldn't run.
 
-#include "world.h"
+#include "world.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -98,7 +98,8 @@
   return IsBroken ? 1 : 0;
 }
 
-// CONFIG, and beside it EVAC, after all open connections to the store went silent.
+// CONFIG, and beside it EVAC, after all open connections to the store went
+// silent.
 static int silentConnections(World &W, bool HasTrouble) {
   constexpr int64_t StableWindowMs = 4000;
   constexpr int64_t ConfigApplyMs = 3000;
@@ -216,8 +217,7 @@
         auto It = Run->Flows.find(Flow.Key);
         if (Run->IsAlive && It != Run->Flows.end() && It->second.IsOpen) {
           ++Count;
-          LostRequests +=
-              Flow.IsWaiting && !It->second.Running.empty() ? 1 : 0;
+          LostRequests += Flow.IsWaiting && !It->second.Running.empty() ? 1 : 0;
         }
       }
     }
@@ -262,9 +262,9 @@
             "\",\"zone\":\"kl-a\",\"version\":\"v1\",\"slots\":2,\"state\":"
             "\"ready\",\"warmup_left_ms\":0,\"seq\":1,\"born\":" +
             std::to_string(Born) + "}";
-        int Status = World::call("PUT", Servers.PairingA->Control,
-                                 "/bilberrylb/instances/i-0ther", Body,
-                                 Ms(1000));
+        int Status =
+            World::call("PUT", Servers.PairingA->Control,
+                        "/bilberrylb/instances/i-0ther", Body, Ms(1000));
         W.Out.line("disruption: a heartbeat from another writer to " +
                    text(Servers.PairingA->Control) + ", answered " +
                    std::to_string(Status) + ": " + Body);
--- a/review/standin/store.cc
+++ b/review/standin/store.cpp
@@ -1,6 +1,6 @@
 // The platform's store and the proxy in front of it.
 
-#include "world.h"
+#include "world.hpp"
 
 #include <arpa/inet.h>
 #include <cstring>
@@ -33,8 +33,8 @@
     uint32_t Bits = 0;
     for (size_t J = 0; J < 3; ++J) {
       Bits <<= 8U;
-      Bits |= I + J < Bytes.size() ? static_cast<unsigned char>(Bytes[I + J])
-                                   : 0U;
+      Bits |=
+          I + J < Bytes.size() ? static_cast<unsigned char>(Bytes[I + J]) : 0U;
     }
     for (size_t J = 0; J < 4; ++J) {
       bool IsPadding = I + J > Bytes.size();
@@ -256,50 +256,50 @@
     Body["as_of"] = I.Revision;
     Reply(Response, 200, Body);
   });
-  I.Http.Get("/bilberrylb/kv-range", [&I,
-                                      Reply](const httplib::Request &Request,
-                                             httplib::Response &Response) {
-    std::string Prefix = Request.get_param_value("prefix");
-    std::string After = Request.get_param_value("after");
-    constexpr size_t PageItems = 500;
-    std::lock_guard Lock(I.Mutex);
-    json Page = json::array();
-    bool HasMore = false;
-    for (const auto &[Key, Entry] : I.Items) {
-      if (!Key.starts_with(Prefix) || (!After.empty() && Key <= After)) {
-        continue;
-      }
-      if (Page.size() >= PageItems) {
-        HasMore = true;
-        break;
-      }
-      Page.push_back(Impl::itemJson(Key, Entry));
-    }
-    Reply(Response, 200,
-          {{"items", Page}, {"has_more", HasMore}, {"as_of", I.Revision}});
-  });
-  I.Http.Get("/bilberrylb/kv-watch", [&I,
-                                      Reply](const httplib::Request &Request,
-                                             httplib::Response &Response) {
-    json Answer;
-    int Status = I.watch(Request, Answer);
-    Reply(Response, Status, Answer);
-  });
+  I.Http.Get(
+      "/bilberrylb/kv-range", [&I, Reply](const httplib::Request &Request,
+                                          httplib::Response &Response) {
+        std::string Prefix = Request.get_param_value("prefix");
+        std::string After = Request.get_param_value("after");
+        constexpr size_t PageItems = 500;
+        std::lock_guard Lock(I.Mutex);
+        json Page = json::array();
+        bool HasMore = false;
+        for (const auto &[Key, Entry] : I.Items) {
+          if (!Key.starts_with(Prefix) || (!After.empty() && Key <= After)) {
+            continue;
+          }
+          if (Page.size() >= PageItems) {
+            HasMore = true;
+            break;
+          }
+          Page.push_back(Impl::itemJson(Key, Entry));
+        }
+        Reply(Response, 200,
+              {{"items", Page}, {"has_more", HasMore}, {"as_of", I.Revision}});
+      });
+  I.Http.Get("/bilberrylb/kv-watch",
+             [&I, Reply](const httplib::Request &Request,
+                         httplib::Response &Response) {
+               json Answer;
+               int Status = I.watch(Request, Answer);
+               Reply(Response, Status, Answer);
+             });
   I.Http.Post("/bilberrylb/kv-txn", [&I, Reply](const httplib::Request &Request,
                                                 httplib::Response &Response) {
     json Answer;
     int Status = I.transaction(json::parse(Request.body), Answer);
     Reply(Response, Status, Answer);
   });
-  I.Http.Post("/bilberrylb/kv-lease", [&I,
-                                       Reply](const httplib::Request &Request,
-                                              httplib::Response &Response) {
-    int64_t Ttl = json::parse(Request.body).at("ttl_ms");
-    std::lock_guard Lock(I.Mutex);
-    int64_t Id = ++I.NextLease;
-    I.Leases[Id] = {Ttl, nowMs() + Ttl};
-    Reply(Response, 200, {{"lease", Id}, {"ttl_ms", Ttl}});
-  });
+  I.Http.Post("/bilberrylb/kv-lease",
+              [&I, Reply](const httplib::Request &Request,
+                          httplib::Response &Response) {
+                int64_t Ttl = json::parse(Request.body).at("ttl_ms");
+                std::lock_guard Lock(I.Mutex);
+                int64_t Id = ++I.NextLease;
+                I.Leases[Id] = {Ttl, nowMs() + Ttl};
+                Reply(Response, 200, {{"lease", Id}, {"ttl_ms", Ttl}});
+              });
   I.Http.Post(R"(/bilberrylb/kv-keep/(\d+))",
               [&I, Reply](const httplib::Request &Request,
                           httplib::Response &Response) {
@@ -413,8 +413,8 @@
     Entry->Client = Client;
     Entry->Server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in At = socketAddress(this->To);
-    if (connect(Entry->Server, reinterpret_cast<sockaddr *>(&At),
-                sizeof(At)) != 0) {
+    if (connect(Entry->Server, reinterpret_cast<sockaddr *>(&At), sizeof(At)) !=
+        0) {
       close(Entry->Server);
       close(Client);
       continue;
@@ -443,9 +443,9 @@
         continue;
       }
       ssize_t Size = recv(Wait[Side].fd, Buffer, sizeof(Buffer), 0);
-      IsOpen = Size > 0 && send(Wait[1 - Side].fd, Buffer,
-                                static_cast<size_t>(Size),
-                                MSG_NOSIGNAL) == Size;
+      IsOpen =
+          Size > 0 && send(Wait[1 - Side].fd, Buffer, static_cast<size_t>(Size),
+                           MSG_NOSIGNAL) == Size;
     }
   }
   Entry->IsDone = true;
--- a/review/standin/world.cc
+++ b/review/standin/world.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "world.hpp"
 
 #include <arpa/inet.h>
 #include <cstring>
@@ -10,8 +10,8 @@
 #include <signal.h>
 #include <sstream>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -85,9 +85,9 @@
       int Udp = bindUdp({this->ip(10), Port});
       int Tcp = socket(AF_INET, SOCK_STREAM, 0);
       sockaddr_in Value = socketAddress({this->ip(10), Port});
-      IsFree = IsFree && Udp >= 0 &&
-               bind(Tcp, reinterpret_cast<sockaddr *>(&Value),
-                    sizeof(Value)) == 0;
+      IsFree =
+          IsFree && Udp >= 0 &&
+          bind(Tcp, reinterpret_cast<sockaddr *>(&Value), sizeof(Value)) == 0;
       close(Tcp);
       if (Udp >= 0) {
         close(Udp);
@@ -296,9 +296,10 @@
   return Result;
 }
 
-static std::map<std::string, std::string>
-commonValues(const Plan &Net, const std::string &Name, const std::string &Zone,
-             int Host) {
+static std::map<std::string, std::string> commonValues(const Plan &Net,
+                                                       const std::string &Name,
+                                                       const std::string &Zone,
+                                                       int Host) {
   std::string Ip = ipText(Net.ip(Host));
   auto At = [&](uint16_t Port) { return Ip + ":" + std::to_string(Port); };
   return {{"node_name", Name},
@@ -442,9 +443,10 @@
 
 // Servers.
 
-std::shared_ptr<ServerRun>
-World::startServer(const std::string &Id, const std::string &Service,
-                   const std::string &Zone, int Host, ServerOptions Options) {
+std::shared_ptr<ServerRun> World::startServer(const std::string &Id,
+                                              const std::string &Service,
+                                              const std::string &Zone, int Host,
+                                              ServerOptions Options) {
   auto Run = std::make_shared<ServerRun>();
   Run->Id = Id;
   Run->Service = Service;
@@ -462,11 +464,10 @@
   if (Run->Socket < 0) {
     throw std::runtime_error("the server's port is in use");
   }
-  this->Out.line("server " + Id + " of " + Service + " starts at " +
-                 text(Run->App) +
-                 (Run->WarmupMs > 0
-                      ? " cold for " + std::to_string(Run->WarmupMs) + " ms"
-                      : ""));
+  this->Out.line(
+      "server " + Id + " of " + Service + " starts at " + text(Run->App) +
+      (Run->WarmupMs > 0 ? " cold for " + std::to_string(Run->WarmupMs) + " ms"
+                         : ""));
   std::lock_guard Lock(this->Mutex);
   this->Servers.push_back(Run);
   Run->Heartbeats = std::thread([this, Run] { this->runHeartbeats(Run); });
@@ -591,8 +592,7 @@
     return;
   }
   if (Flow.HasEnded) {
-    this->sendFromServer(Run, Key,
-                         P->Len > 0 ? Packet::Rst : Packet::AckFlag,
+    this->sendFromServer(Run, Key, P->Len > 0 ? Packet::Rst : Packet::AckFlag,
                          Flow.NextOwn, Flow.NextPeer, "");
     return;
   }
@@ -606,10 +606,10 @@
   if (P->Len > 0) {
     auto Answer = Flow.Answers.find(P->Seq);
     if (Answer != Flow.Answers.end()) {
-      this->sendFromServer(
-          Run, Key, Packet::AckFlag,
-          Flow.NextOwn - static_cast<uint32_t>(Answer->second.size()),
-          Flow.NextPeer, Answer->second);
+      this->sendFromServer(Run, Key, Packet::AckFlag,
+                           Flow.NextOwn -
+                               static_cast<uint32_t>(Answer->second.size()),
+                           Flow.NextPeer, Answer->second);
     } else if (!Flow.Running.contains(P->Seq)) {
       Flow.NextPeer = P->Seq + P->Len;
       Flow.Running.insert(P->Seq);
@@ -715,9 +715,10 @@
       Elsewhere.push_back(Value.Datagram);
     }
   }
-  std::vector<Address> &Nodes = InRotation.empty()                ? Elsewhere
-                                : InRotation.size() * 2 < All.size() ? All
-                                                                     : InRotation;
+  std::vector<Address> &Nodes = InRotation.empty() ? Elsewhere
+                                : InRotation.size() * 2 < All.size()
+                                    ? All
+                                    : InRotation;
   if (Nodes.empty()) {
     return;
   }
@@ -782,8 +783,8 @@
     return;
   }
   if (P->is(Packet::Rst)) {
-    bool IsNear = P->Seq - Flow.NextPeer <= 76800U ||
-                  Flow.NextPeer - P->Seq <= 76800U;
+    bool IsNear =
+        P->Seq - Flow.NextPeer <= 76800U || Flow.NextPeer - P->Seq <= 76800U;
     if (!Flow.IsOpen) {
       this->endFlow(Flow, "reset-opening");
     } else if (IsNear) {
@@ -805,8 +806,7 @@
     std::string First;
     std::string Id;
     Words >> First >> Id >> Flow.ServerId;
-    std::string Expected =
-        Flow.Label + "." + std::to_string(Flow.Answered + 1);
+    std::string Expected = Flow.Label + "." + std::to_string(Flow.Answered + 1);
     if (Id != Expected) {
       return;
     }
--- a/review/standin/world.h
+++ b/review/standin/world.hpp
@@ -151,9 +151,9 @@
   std::string Service;
   std::string Zone;
   int Host = 0;
-  int64_t BornMs = 0;      // Unix time
-  int64_t StartedAt = 0;   // nowMs()
-  int64_t WarmupMs = 0;    // how long it is cold
+  int64_t BornMs = 0;    // Unix time
+  int64_t StartedAt = 0; // nowMs()
+  int64_t WarmupMs = 0;  // how long it is cold
   int Slots = 2;
   uint64_t NextSeq = 1;
   std::atomic<bool> IsDraining{false};
@@ -162,7 +162,7 @@
   int Socket = -1;
   Address App, Outbound, Control;
   struct Flow {
-    uint32_t OwnSeq = 0;    // of the SYN+ACK
+    uint32_t OwnSeq = 0; // of the SYN+ACK
     uint32_t NextOwn = 0;
     uint32_t NextPeer = 0;
     bool IsOpen = false;
@@ -194,8 +194,8 @@
   std::string Outcome; // answered, reset-opening, reset-open, timeout
   int64_t EndedAt = 0;
   std::string ServerId;
-  int Requests = 1;       // how many requests it sends in all
-  int64_t PauseMs = 0;    // between two requests
+  int Requests = 1;    // how many requests it sends in all
+  int64_t PauseMs = 0; // between two requests
   int64_t WorkMs = 20;
   int Answered = 0;
   int64_t RequestSentAt = 0;
@@ -249,9 +249,10 @@
                   const std::string &Label, int Requests, int64_t PauseMs,
                   int64_t WorkMs);
   /// Calls Look with all flows and servers, while nothing changes.
-  void look(const std::function<void(const std::vector<ClientFlow> &,
-                                     const std::vector<std::shared_ptr<
-                                         ServerRun>> &)> &Look);
+  void look(
+      const std::function<void(const std::vector<ClientFlow> &,
+                               const std::vector<std::shared_ptr<ServerRun>> &)>
+          &Look);
 
   /// One HTTP call; returns the status, or 0 without a response. FromIp is the
   /// caller's address, or 0 for any.
