--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/review-harness ] || exit 2
-exec target/review/review-harness cold-restart review/3/record.txt "$PWD"
+exec target/review/review-harness ignored-drain review/3/record.txt "$PWD"
