Ignore heartbeats that don't describe the agent's own upstream

Cause: the agent took any well-formed heartbeat for one of its upstream. A later start time made it the current run, and the flows of the run before were reset.

Fix: compare service and address with those of the settings, which name the upstream that the process runs beside.

--- a/bench/packet_bench.cc
+++ b/bench/packet_bench.cc
@@ -88,9 +88,14 @@
   targets::OperatorStateCache StateCache(standin::singleRouteFormat(Route));
   StateCache.applyEvent({false, {"routes", "", 1, 0}});
   base::TimePoint Now{std::chrono::hours(1)};
-  agent::PacketAgent Agent(
-      {base::MemberName("a"), 1, base::DataCentreName("dc"), {}, {}}, {}, Now,
-      StateCache);
+  agent::PacketAgent Agent({base::MemberName("a"),
+                            1,
+                            base::DataCentreName("dc"),
+                            {},
+                            {},
+                            base::ServiceName("rounds"),
+                            {}},
+                           {}, Now, StateCache);
   members::UpstreamHeartbeat Report;
   Report.Id = "u";
   Report.Service = base::ServiceName("rounds");
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -314,6 +314,10 @@
                       const members::UpstreamHeartbeat &Report,
                       PacketActions &Out) {
   this->detectPause(Now);
+  if (!this->isOwnUpstream(Report)) {
+    ++this->Counts.ForeignReports;
+    return members::HeartbeatOutcome::Foreign;
+  }
   bool HadRun = this->Upstream.currentRun().has_value();
   base::TimePoint PreviousHeartbeat = this->Upstream.lastHeartbeatAt();
   members::HeartbeatOutcome Outcome =
@@ -322,6 +326,8 @@
   case members::HeartbeatOutcome::Stale:
     ++this->Counts.StaleReports;
     return Outcome;
+  case members::HeartbeatOutcome::Foreign:
+    return Outcome;
   case members::HeartbeatOutcome::NewRun:
     // Flows opened before the previous run's last heartbeat belonged to that
     // run. Later ones may belong to the new run, which returns the packets of
@@ -346,6 +352,15 @@
   return Outcome;
 }
 
+// Other processes may send heartbeats too. One that doesn't describe the
+// upstream on this VM must not replace its current run, whose flows would be
+// reset.
+bool PacketAgent::isOwnUpstream(
+    const members::UpstreamHeartbeat &Report) const {
+  return Report.Service == this->Self.Service &&
+         Report.Address == this->Self.Upstream;
+}
+
 // True if no earlier run of this process relayed packets of the upstream. Both
 // start times are wall-clock times of the same machine.
 bool PacketAgent::startedBefore(
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -56,6 +56,9 @@
   base::Address Data;
   /// HTTP address where peers can fetch the operators' documents.
   base::Address Pages;
+  /// The service and the address of the upstream on the same VM.
+  base::ServiceName Service;
+  base::Address Upstream;
 };
 
 /// Event counters since the start, for the metrics page.
@@ -69,6 +72,7 @@
   uint64_t Probes = 0;
   uint64_t Dropped = 0;
   uint64_t StaleReports = 0;
+  uint64_t ForeignReports = 0;
 };
 
 /// Not thread-safe: the process guards it with one mutex.
@@ -89,7 +93,8 @@
   /// Handles a message from a balancer; messages of other kinds are ignored.
   void onMessage(base::TimePoint Now, const base::Address &From,
                  const wire::RelayMessage &Message, packet::PacketActions &Out);
-  /// Applies a heartbeat of the upstream before it returns.
+  /// Applies a heartbeat of the upstream before it returns. Heartbeats that
+  /// name another service or address than the upstream's are ignored.
   members::HeartbeatOutcome onReport(base::TimePoint Now,
                                      const members::UpstreamHeartbeat &Report,
                                      packet::PacketActions &Out);
@@ -148,6 +153,7 @@
              packet::PacketActions &Out);
   void resetFlowsBefore(base::TimePoint Now, base::TimePoint OpenedBefore,
                         std::string_view Reason, packet::PacketActions &Out);
+  bool isOwnUpstream(const members::UpstreamHeartbeat &Report) const;
   bool startedBefore(const members::UpstreamHeartbeat &Report) const;
   bool knowsAllFlows(base::TimePoint Now) const;
   base::Duration idleTimeout() const;
--- a/bilberry/agent/packet_agent_process.cc
+++ b/bilberry/agent/packet_agent_process.cc
@@ -25,6 +25,9 @@
                Counts.Dropped);
   Page.counter("bilberry_upstream_reports_stale_total",
                "Heartbeats older than the newest one", Counts.StaleReports);
+  Page.counter("bilberry_upstream_reports_foreign_total",
+               "Heartbeats of another service or address than the upstream's",
+               Counts.ForeignReports);
   Page.gauge("bilberry_flows_held", "Flows that the upstream holds",
              static_cast<double>(Agent.flows()));
 }
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -49,7 +49,7 @@
       : Settings(Settings), Source(Source),
         Node(Settings, Source, std::move(Documents)),
         Agent({Settings.Name, Node.run(), Settings.DataCentre, Settings.Callers,
-               Settings.httpAddress()},
+               Settings.httpAddress(), Settings.Service, Settings.Upstream},
               Settings.Cold, Node.now(), Node.stateCache()),
         Self(members::Member{
             Settings.Name, Node.run(), members::MemberRole::Agent,
@@ -78,8 +78,9 @@
     return boost::outcome_v2::success();
   }
 
-  /// Applies a heartbeat of the upstream before it returns.
-  void onReport(const members::UpstreamHeartbeat &Report) {
+  /// Applies a heartbeat of the upstream before it returns. Returns false if
+  /// the heartbeat was ignored because another process sent it.
+  bool onReport(const members::UpstreamHeartbeat &Report) {
     std::lock_guard Lock(this->Node.mutex());
     bool WasDraining = this->isDraining();
     auto Outcome =
@@ -89,6 +90,12 @@
                 " service=" + Report.Service.text() +
                 " sequence=" + std::to_string(Report.Sequence) +
                 " cold-left=" + std::to_string(Report.ColdLeft.count()) + "ms");
+    } else if (Outcome == members::HeartbeatOutcome::Foreign) {
+      this->Node.logMalformedInput(
+          this->Node.now(),
+          "heartbeat from another process: id=" + Report.Id +
+              " service=" + Report.Service.text() +
+              " address=" + base::addressText(Report.Address));
     } else if (Outcome == members::HeartbeatOutcome::Stale) {
       log::info("event=upstream-report-stale id=" + Report.Id +
                 " sequence=" + std::to_string(Report.Sequence));
@@ -96,6 +103,7 @@
       log::info("event=upstream-draining id=" + Report.Id);
     }
     this->Node.flushLocked();
+    return Outcome != members::HeartbeatOutcome::Foreign;
   }
 
   /// Call when the upstream with this id announces that it is exiting.
--- a/bilberry/members/upstream_record.h
+++ b/bilberry/members/upstream_record.h
@@ -43,8 +43,16 @@
   NewRun,
   /// Out of date; ignored.
   Stale,
+  /// Not from the agent's own upstream; ignored.
+  Foreign,
 };
 
+/// Returns true if a heartbeat with this outcome was applied.
+inline bool isApplied(HeartbeatOutcome Outcome) {
+  return Outcome == HeartbeatOutcome::Known ||
+         Outcome == HeartbeatOutcome::NewRun;
+}
+
 /// An upstream without a heartbeat for this long gets no new work: three
 /// heartbeats at the upstreams' usual rate.
 inline constexpr base::Duration HeartbeatTimeout = std::chrono::seconds(4);
--- a/bilberry/settings/packet_settings.h
+++ b/bilberry/settings/packet_settings.h
@@ -33,7 +33,7 @@
   /// UDP address for packets from the upstream.
   base::Address FromUpstream;
   base::Address Upstream;
-  /// Service of the upstream until its first heartbeat names one.
+  /// Service of the upstream. Heartbeats of another one are ignored.
   base::ServiceName Service;
   /// Limit on new flows per second while the upstream is cold. Factor
   /// multiplies the operators' rate; Tolerance is a number of flows per second
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -14,17 +14,24 @@
 
 const base::Address Route = {0xC6120001, 8443};
 const base::Address Balancer = {0x0A010001, 7001};
+const base::Address Upstream = {0x0A010002, 8165};
 
 class PacketAgentTest : public ::testing::Test {
 protected:
   PacketAgentTest()
       : StateCache(standin::singleRouteFormat(Route)),
-        Agent(
-            {base::MemberName("agent"), 1, base::DataCentreName("dc"), {}, {}},
-            {1.5, 5}, Clock.now(), StateCache) {
+        Agent({base::MemberName("agent"),
+               1,
+               base::DataCentreName("dc"),
+               {},
+               {},
+               base::ServiceName("rounds"),
+               Upstream},
+              {1.5, 5}, Clock.now(), StateCache) {
     this->StateCache.applyEvent({false, {"routes", "", 1, 0}});
     this->Report.Id = "upstream";
     this->Report.Service = base::ServiceName("rounds");
+    this->Report.Address = Upstream;
     this->Report.Slots = 2;
     this->sendHeartbeat();
   }
@@ -132,6 +139,45 @@
 
 // Balancers queue flows until an upstream has capacity. Those that placed flows
 // here lately must learn of it at once, in whichever data centre they are.
+// Guards against resets of a live upstream's flows: a heartbeat of another
+// process must not replace the upstream's run, however late its start.
+TEST_F(PacketAgentTest, ForeignHeartbeatDoesNotResetFlows) {
+  struct Case {
+    const char *Name;
+    const char *Service;
+    base::Address Address;
+  };
+  const Case Cases[] = {
+      {"unknown service", "no-such-service", Upstream},
+      {"service of another upstream", "photos", Upstream},
+      {"address of another VM", "rounds", {Upstream.Ip + 1, Upstream.Port}},
+      {"other port", "rounds", {Upstream.Ip, 1}},
+  };
+  for (uint16_t Port = 1; Port <= 3; ++Port) {
+    this->completeRequest(Port);
+  }
+  this->sendHeartbeat();
+  for (const Case &Item : Cases) {
+    members::UpstreamHeartbeat Foreign;
+    Foreign.Id = "other";
+    Foreign.Service = base::ServiceName(Item.Service);
+    Foreign.Address = Item.Address;
+    Foreign.StartedAt = this->Report.StartedAt + std::chrono::hours(1);
+    Foreign.Sequence = 1;
+    this->Out.clear();
+    EXPECT_EQ(this->Agent.onReport(this->Clock.now(), Foreign, this->Out),
+              members::HeartbeatOutcome::Foreign)
+        << Item.Name;
+    EXPECT_TRUE(this->Out.Resets.empty()) << Item.Name;
+    ++this->Report.Sequence;
+    EXPECT_EQ(this->Agent.onReport(this->Clock.now(), this->Report, this->Out),
+              members::HeartbeatOutcome::Known)
+        << Item.Name;
+  }
+  EXPECT_EQ(this->Agent.counts().ForeignReports, std::size(Cases));
+  EXPECT_EQ(this->sendCallerPacket(9, true, 1, 0), packet::HopTag::None);
+}
+
 class FreeCapacityTest : public PacketAgentTest,
                          public ::testing::WithParamInterface<const char *> {};
 
--- a/daemons/bilberry_packet_agent.cc
+++ b/daemons/bilberry_packet_agent.cc
@@ -31,7 +31,7 @@
   platform::HttpEndpoints Heartbeats;
   Heartbeats.serveHeartbeats(
       [&Agent](const members::UpstreamHeartbeat &Report) {
-        Agent.onReport(Report);
+        return Agent.onReport(Report);
       },
       [&Agent](const std::string &Id) { Agent.onLeave(Id); },
       [&Agent](const std::string &Reason) {
