Reject incomplete heartbeats, and acknowledge only what was applied

Cause: the parser accepted heartbeats without zone and version, so those of another process became the current run; and a heartbeat that the record ignores as stale was answered 200.

Heartbeats and leave messages that are ignored are answered with 409, so that the upstream calls again; a repeated heartbeat counts as applied.

--- a/bench/packet_bench.cc
+++ b/bench/packet_bench.cc
@@ -99,6 +99,7 @@
   members::UpstreamHeartbeat Report;
   Report.Id = "u";
   Report.Service = base::ServiceName("rounds");
+  Report.DataCentre = base::DataCentreName("dc");
   Report.Sequence = 1;
   packet::PacketActions Out;
   Agent.onReport(Now, Report, Out);
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -327,6 +327,7 @@
     ++this->Counts.StaleReports;
     return Outcome;
   case members::HeartbeatOutcome::Foreign:
+  case members::HeartbeatOutcome::Repeated:
     return Outcome;
   case members::HeartbeatOutcome::NewRun:
     // Flows opened before the previous run's last heartbeat belonged to that
@@ -358,7 +359,8 @@
 bool PacketAgent::isOwnUpstream(
     const members::UpstreamHeartbeat &Report) const {
   return Report.Service == this->Self.Service &&
-         Report.Address == this->Self.Upstream;
+         Report.Address == this->Self.Upstream &&
+         Report.DataCentre == this->Self.DataCentre;
 }
 
 // True if no earlier run of this process relayed packets of the upstream. Both
@@ -370,12 +372,13 @@
          (Report.Sequence <= MaxFirstSequence && Report.StartedAt >= Started);
 }
 
-void PacketAgent::onLeave(base::TimePoint Now, const std::string &Id,
+bool PacketAgent::onLeave(base::TimePoint Now, const std::string &Id,
                           PacketActions &Out) {
   if (this->Upstream.removeRun(Id)) {
     this->UpstreamLeftAt = Now;
     this->sendStatus(Now, true, Out);
   }
+  return !this->Upstream.currentRun().has_value();
 }
 
 // Messages from balancers.
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -56,7 +56,8 @@
   base::Address Data;
   /// HTTP address where peers can fetch the operators' documents.
   base::Address Pages;
-  /// The service and the address of the upstream on the same VM.
+  /// The service and the address of the upstream on the same VM, which is in
+  /// the same data centre.
   base::ServiceName Service;
   base::Address Upstream;
 };
@@ -94,12 +95,14 @@
   void onMessage(base::TimePoint Now, const base::Address &From,
                  const wire::RelayMessage &Message, packet::PacketActions &Out);
   /// Applies a heartbeat of the upstream before it returns. Heartbeats that
-  /// name another service or address than the upstream's are ignored.
+  /// name another service, address or data centre than the upstream's are
+  /// ignored.
   members::HeartbeatOutcome onReport(base::TimePoint Now,
                                      const members::UpstreamHeartbeat &Report,
                                      packet::PacketActions &Out);
-  /// Call when the upstream with this id announces that it is exiting.
-  void onLeave(base::TimePoint Now, const std::string &Id,
+  /// Call when the upstream with this id announces that it is exiting. Returns
+  /// false if that is ignored because another run is the current one.
+  bool onLeave(base::TimePoint Now, const std::string &Id,
                packet::PacketActions &Out);
   /// Call when this process is asked to stop: publishes all open flows to the
   /// balancers. The agent then accepts no new flows, and relays packets until
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -79,7 +79,8 @@
   }
 
   /// Applies a heartbeat of the upstream before it returns. Returns false if
-  /// the heartbeat was ignored because another process sent it.
+  /// the heartbeat was ignored: it is out of date, or not of this agent's
+  /// upstream.
   bool onReport(const members::UpstreamHeartbeat &Report) {
     std::lock_guard Lock(this->Node.mutex());
     bool WasDraining = this->isDraining();
@@ -95,7 +96,8 @@
           this->Node.now(),
           "heartbeat from another process: id=" + Report.Id +
               " service=" + Report.Service.text() +
-              " address=" + base::addressText(Report.Address));
+              " address=" + base::addressText(Report.Address) +
+              " data-centre=" + Report.DataCentre.text());
     } else if (Outcome == members::HeartbeatOutcome::Stale) {
       log::info("event=upstream-report-stale id=" + Report.Id +
                 " sequence=" + std::to_string(Report.Sequence));
@@ -103,15 +105,20 @@
       log::info("event=upstream-draining id=" + Report.Id);
     }
     this->Node.flushLocked();
-    return Outcome != members::HeartbeatOutcome::Foreign;
+    return members::isApplied(Outcome);
   }
 
-  /// Call when the upstream with this id announces that it is exiting.
-  void onLeave(const std::string &Id) {
+  /// Call when the upstream with this id announces that it is exiting. Returns
+  /// false if that is ignored because another run is the current one.
+  bool onLeave(const std::string &Id) {
     std::lock_guard Lock(this->Node.mutex());
-    log::info("event=upstream-left id=" + Id);
-    this->Agent.onLeave(this->Node.now(), Id, this->Node.actions());
+    bool IsGone =
+        this->Agent.onLeave(this->Node.now(), Id, this->Node.actions());
+    log::info((IsGone ? "event=upstream-left id="
+                      : "event=upstream-leave-ignored id=") +
+              Id);
     this->Node.flushLocked();
+    return IsGone;
   }
 
   /// Call when a heartbeat could not be parsed.
--- a/bilberry/members/upstream_record.cc
+++ b/bilberry/members/upstream_record.cc
@@ -11,7 +11,9 @@
                                const UpstreamHeartbeat &Heartbeat) {
   if (this->CurrentRun && isSameRun(*this->CurrentRun, Heartbeat)) {
     if (Heartbeat.Sequence <= this->CurrentRun->Sequence) {
-      return HeartbeatOutcome::Stale;
+      bool IsRepeated = Heartbeat.Sequence == this->CurrentRun->Sequence &&
+                        (this->CurrentRun->IsDraining || !Heartbeat.IsDraining);
+      return IsRepeated ? HeartbeatOutcome::Repeated : HeartbeatOutcome::Stale;
     }
     this->applyToCurrentRun(Now, Heartbeat);
     return HeartbeatOutcome::Known;
--- a/bilberry/members/upstream_record.h
+++ b/bilberry/members/upstream_record.h
@@ -25,6 +25,7 @@
   std::string Id;
   base::ServiceName Service;
   base::Address Address;
+  base::DataCentreName DataCentre;
   /// The start time of this run by the upstream's wall clock; 0 if unknown.
   std::chrono::milliseconds StartedAt{0};
   uint64_t Sequence = 0;
@@ -41,16 +42,21 @@
   /// From another run, now the current one; the state of the earlier run is
   /// lost.
   NewRun,
-  /// Out of date; ignored.
+  /// The last heartbeat of the current run once more; applied before.
+  Repeated,
+  /// Of an earlier run, or older than the last one of the current run; ignored.
   Stale,
   /// Not from the agent's own upstream; ignored.
   Foreign,
 };
 
-/// Returns true if a heartbeat with this outcome was applied.
+/// Returns true if the record reflects a heartbeat with this outcome. An
+/// upstream must not be told that any other one was accepted: it may have said
+/// that it is draining.
 inline bool isApplied(HeartbeatOutcome Outcome) {
   return Outcome == HeartbeatOutcome::Known ||
-         Outcome == HeartbeatOutcome::NewRun;
+         Outcome == HeartbeatOutcome::NewRun ||
+         Outcome == HeartbeatOutcome::Repeated;
 }
 
 /// An upstream without a heartbeat for this long gets no new work: three
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -32,6 +32,7 @@
     this->Report.Id = "upstream";
     this->Report.Service = base::ServiceName("rounds");
     this->Report.Address = Upstream;
+    this->Report.DataCentre = base::DataCentreName("dc");
     this->Report.Slots = 2;
     this->sendHeartbeat();
   }
@@ -146,12 +147,14 @@
     const char *Name;
     const char *Service;
     base::Address Address;
+    const char *DataCentre = "dc";
   };
   const Case Cases[] = {
       {"unknown service", "no-such-service", Upstream},
       {"service of another upstream", "photos", Upstream},
       {"address of another VM", "rounds", {Upstream.Ip + 1, Upstream.Port}},
       {"other port", "rounds", {Upstream.Ip, 1}},
+      {"other data centre", "rounds", Upstream, "elsewhere"},
   };
   for (uint16_t Port = 1; Port <= 3; ++Port) {
     this->completeRequest(Port);
@@ -162,6 +165,7 @@
     Foreign.Id = "other";
     Foreign.Service = base::ServiceName(Item.Service);
     Foreign.Address = Item.Address;
+    Foreign.DataCentre = base::DataCentreName(Item.DataCentre);
     Foreign.StartedAt = this->Report.StartedAt + std::chrono::hours(1);
     Foreign.Sequence = 1;
     this->Out.clear();
@@ -178,6 +182,16 @@
   EXPECT_EQ(this->sendCallerPacket(9, true, 1, 0), packet::HopTag::None);
 }
 
+// A run that isn't the current one must not be told that its leaving was noted.
+TEST_F(PacketAgentTest, LeaveOfAnotherRunIsNotAcknowledged) {
+  EXPECT_FALSE(this->Agent.onLeave(this->Clock.now(), "other", this->Out));
+  EXPECT_TRUE(this->Agent.upstream().currentRun().has_value());
+  EXPECT_TRUE(
+      this->Agent.onLeave(this->Clock.now(), this->Report.Id, this->Out));
+  EXPECT_TRUE(this->Agent.onLeave(this->Clock.now(), "other", this->Out))
+      << "nothing is sent to an upstream any more";
+}
+
 class FreeCapacityTest : public PacketAgentTest,
                          public ::testing::WithParamInterface<const char *> {};
 
--- a/daemons/bilberry_packet_agent.cc
+++ b/daemons/bilberry_packet_agent.cc
@@ -33,7 +33,7 @@
       [&Agent](const members::UpstreamHeartbeat &Report) {
         return Agent.onReport(Report);
       },
-      [&Agent](const std::string &Id) { Agent.onLeave(Id); },
+      [&Agent](const std::string &Id) { return Agent.onLeave(Id); },
       [&Agent](const std::string &Reason) {
         Agent.onMalformedHeartbeat(Reason);
       });
