Notice silent connections to the store within 2.2 s

Cause: after the open connections to the store had gone silent, a long poll failed only after its wait of 8 to 30 s. That one of many processes would notice soon and tell the others doesn't hold after a change, which makes all polls begin at once.

Fix: two ranked balancers of each data centre, which already follow the members, follow the documents with a limit of 2.2 s on silence and report a new revision at once; the others rely on them, and become followers if they hear none. A watch takes the limit from its caller; the waits are no longer drawn in platform/.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -400,7 +400,9 @@
                                   const wire::BalancerHello &Hello,
                                   PacketActions &Out) {
   bool IsNew = this->Balancers.record(Now, From, Hello);
-  if (Hello.Documents.Changed > this->NewestDocumentsVersion.Changed) {
+  // Of several balancers with the newest version, the one heard last is the
+  // most likely to be running when the documents are fetched.
+  if (Hello.Documents.Changed >= this->NewestDocumentsVersion.Changed) {
     this->NewestDocumentsVersion = Hello.Documents;
   }
   if (!IsNew && !Hello.AsksForStatus) {
@@ -635,6 +637,11 @@
   return !AwaitsUpstream && !this->UpstreamLeftAt;
 }
 
+bool PacketAgent::mustFollowStore(base::TimePoint Now) const {
+  return Now - this->StartedAt >= FollowerDiscoveryTime &&
+         !this->Balancers.hearsFollower(Now);
+}
+
 void PacketAgent::onTick(base::TimePoint Now, PacketActions &Out) {
   this->detectPause(Now);
   if (this->UpstreamLeftAt &&
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -47,6 +47,10 @@
 /// The idle timeout of an open flow if the routes don't set one.
 inline constexpr base::Duration DefaultIdleTimeout = std::chrono::seconds(60);
 
+/// How long after its start an agent relies on balancers without having heard
+/// them: it has just read the store.
+inline constexpr base::Duration FollowerDiscoveryTime = std::chrono::seconds(3);
+
 /// The name, run and addresses by which other processes know this agent.
 struct AgentIdentity {
   base::MemberName Name;
@@ -125,6 +129,9 @@
   const wire::DocumentsVersion &newestDocuments() const {
     return this->NewestDocumentsVersion;
   }
+  /// True if this agent must follow the store itself, because it hears no
+  /// balancer that does.
+  bool mustFollowStore(base::TimePoint Now) const;
 
 private:
   /// Flows to report to the balancers of one data centre.
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -47,7 +47,7 @@
   PacketAgentProcess(const settings::PacketSettings &Settings, S &Source,
                      node::DocumentSource Documents)
       : Settings(Settings), Source(Source),
-        Node(Settings, Source, std::move(Documents)),
+        Node(Settings, Source, std::move(Documents), /*IsFollower=*/false),
         Agent({Settings.Name, Node.run(), Settings.DataCentre, Settings.Callers,
                Settings.httpAddress(), Settings.Service, Settings.Upstream},
               Settings.Cold, Node.now(), Node.stateCache()),
@@ -218,6 +218,7 @@
 
   wire::DocumentsVersion tick(base::TimePoint Now) {
     std::lock_guard Lock(this->Node.mutex());
+    this->Node.setFollower(this->Agent.mustFollowStore(Now));
     this->Agent.onTick(Now, this->Node.actions());
     this->Node.flushLocked();
     return this->Agent.newestDocuments();
--- a/bilberry/agent/status_receivers.cc
+++ b/bilberry/agent/status_receivers.cc
@@ -18,8 +18,11 @@
   bool IsNewRun = Known.Run != Hello.Run;
   base::TimePoint LastOpeningAt = Known.LastOpeningAt;
   Known = {Hello.Run,
-           Hello.DataCentre.empty() ? this->DataCentre : Hello.DataCentre, Now,
-           routing::memberHash(Hello.Name), LastOpeningAt};
+           Hello.DataCentre.empty() ? this->DataCentre : Hello.DataCentre,
+           Now,
+           routing::memberHash(Hello.Name),
+           LastOpeningAt,
+           Hello.FollowsStore};
   return IsNewRun;
 }
 
@@ -83,6 +86,14 @@
   return Found;
 }
 
+bool StatusReceivers::hearsFollower(base::TimePoint Now) const {
+  return std::ranges::any_of(this->Balancers, [&](const auto &Known) {
+    return Known.second.FollowsStore &&
+           Known.second.DataCentre == this->DataCentre &&
+           Now - Known.second.LastMessageAt <= FollowerTimeout;
+  });
+}
+
 std::vector<base::Address> StatusReceivers::relays(base::TimePoint Now) const {
   using Ranked = std::pair<uint64_t, base::Address>;
   std::map<base::DataCentreName, std::vector<Ranked>> ByDataCentre;
--- a/bilberry/agent/status_receivers.h
+++ b/bilberry/agent/status_receivers.h
@@ -45,6 +45,12 @@
 inline constexpr base::Duration NearBalancerExpiry =
     std::chrono::milliseconds(3500);
 
+/// A balancer of this data centre that follows the store is relied on for
+/// changes of the documents for this long after its last message: two of its
+/// messages may be missed.
+inline constexpr base::Duration FollowerTimeout =
+    std::chrono::milliseconds(2200);
+
 /// The balancers that one agent knows. Not thread-safe.
 class StatusReceivers {
 public:
@@ -69,6 +75,9 @@
   balancersIn(const base::DataCentreName &Name) const;
   /// The balancers of this data centre that were heard recently.
   std::vector<base::Address> nearBalancers(base::TimePoint Now) const;
+  /// True if a balancer of this data centre that follows the store was heard
+  /// recently.
+  bool hearsFollower(base::TimePoint Now) const;
   /// The balancers of the other data centres that pass statuses on, without
   /// those of farPlacers().
   std::vector<base::Address> relays(base::TimePoint Now) const;
@@ -84,6 +93,7 @@
     base::TimePoint LastMessageAt;
     uint64_t NameHash = 0;
     base::TimePoint LastOpeningAt;
+    bool FollowsStore = false;
   };
 
   bool isFarPlacer(base::TimePoint Now, const Balancer &Known) const;
--- a/bilberry/balancer/packet_balancer.h
+++ b/bilberry/balancer/packet_balancer.h
@@ -24,6 +24,11 @@
 /// in practice the listing is repeated only when the watch breaks.
 inline constexpr base::Duration MembersRereadInterval = std::chrono::hours(1);
 
+/// How long the watch of the members may be silent. When connections go silent,
+/// the watch of the documents notices that much sooner, and the members are
+/// then listed again too.
+inline constexpr base::Duration MembersSilenceLimit = std::chrono::seconds(20);
+
 /// Adds a router's metrics to a page.
 void addRouterMetrics(const routing::PacketRouter &Router,
                       metrics::Exposition &Page);
@@ -34,13 +39,14 @@
   /// Precondition: Source outlives the balancer.
   PacketBalancer(const settings::PacketSettings &Settings, S &Source,
                  node::DocumentSource Documents)
-      : Settings(Settings), Node(Settings, Source, std::move(Documents)),
+      : Settings(Settings),
+        Node(Settings, Source, std::move(Documents), /*IsFollower=*/true),
         Router({Settings.Name, Node.run(), Settings.DataCentre,
                 Settings.httpAddress(), Settings.messageAddress(),
                 Settings.MaxFlows},
                Node.now(), Node.stateCache()),
         Watcher(Source, Node.clock(), Members, MembersRereadInterval,
-                targets::MaxStoreRetryDelay) {}
+                targets::MaxStoreRetryDelay, MembersSilenceLimit) {}
 
   /// Opens the sockets and starts watching the store. Errors: System.
   base::Result<void> start() {
@@ -138,12 +144,25 @@
       log::info(std::string("event=follow-members now=") +
                 (MustFollow ? "yes" : "no"));
     }
-    this->Router.onTick(Now, MustFollow && !this->Watcher.isStoreDown(),
+    this->Node.setFollower(MustFollow);
+    this->rereadMembersAfterBrokenWatch();
+    this->Router.onTick(Now,
+                        MustFollow && !this->Watcher.isStoreDown() &&
+                            this->Node.isStoreUp(),
                         this->Node.actions());
     this->flushLocked(Now);
     return this->Router.newsHeard();
   }
 
+  // Connections often go silent together.
+  void rereadMembersAfterBrokenWatch() {
+    uint64_t BrokenWatches = this->Node.brokenWatches();
+    if (BrokenWatches != this->HandledBrokenWatches) {
+      this->HandledBrokenWatches = BrokenWatches;
+      this->Watcher.reread();
+    }
+  }
+
   void updateMembers(base::TimePoint Now) {
     this->Watcher.tick(Now);
     std::vector<members::Member> Announced = this->Members.all();
@@ -184,6 +203,7 @@
   members::MemberWatcher<S, base::BootClock> Watcher;
   base::TimePoint MembersReadAt;
   bool IsFollowingSuspended = false;
+  uint64_t HandledBrokenWatches = 0;
   std::unique_ptr<SocketSet> Sockets;
   std::atomic<bool> IsStopping{false};
   std::jthread WatcherThread;
--- a/bilberry/members/member_watcher.h
+++ b/bilberry/members/member_watcher.h
@@ -19,9 +19,11 @@
   /// Precondition: StoreClient, TimeSource and Table outlive the watcher.
   MemberWatcher(S &StoreClient, const C &TimeSource, MemberTable &Table,
                 base::Duration RereadInterval = store::DefaultRereadInterval,
-                base::Duration LongestDelay = store::MaxBackoff)
-      : TimeSource(TimeSource), Announcements(StoreClient, store::MembersPrefix,
-                                              RereadInterval, LongestDelay),
+                base::Duration LongestDelay = store::MaxBackoff,
+                base::Duration SilenceLimit = store::DefaultSilenceLimit)
+      : TimeSource(TimeSource),
+        Announcements(StoreClient, store::MembersPrefix, RereadInterval,
+                      LongestDelay, SilenceLimit),
         Tracker(Table) {}
 
   /// Blocks until Stop is requested. Must be called from one thread only.
@@ -42,6 +44,10 @@
         });
   }
 
+  /// Lists the announcements again: for processes that learn from another
+  /// source that their watch may have gone silent. Thread-safe.
+  void reread() { this->Announcements.reread(); }
+
   /// Suspends or resumes following the store. The table doesn't change while
   /// suspended. Thread-safe.
   void setSuspended(bool Value) { this->Announcements.setSuspended(Value); }
--- a/bilberry/node/packet_node.h
+++ b/bilberry/node/packet_node.h
@@ -71,13 +71,16 @@
 /// call run() with handlers.
 template <packet::PacketFormat Format, store::Store S> class PacketNode {
 public:
-  /// Precondition: Source outlives the node.
+  /// Precondition: Source outlives the node. IsFollower: see
+  /// setFollower().
   PacketNode(const settings::PacketSettings &Settings, S &Source,
-             DocumentSource Documents)
+             DocumentSource Documents, bool IsFollower)
       : Settings(Settings), RunIncarnation(newIncarnation()),
         StateCache(std::move(Documents.Format)),
-        Watcher(Source, std::move(Documents.Prefix), StateCache,
-                [](const std::string &Line) { log::info(Line); }),
+        Watcher(
+            Source, std::move(Documents.Prefix), StateCache,
+            [](const std::string &Line) { log::info(Line); }, IsFollower),
+        IsFollower(IsFollower),
         WatcherThread(
             [this](const std::stop_token &Stop) { this->Watcher.run(Stop); }) {}
 
@@ -85,6 +88,21 @@
   const base::BootClock &clock() const { return this->Clock; }
   base::Incarnation run() const { return this->RunIncarnation; }
   targets::OperatorStateCache &stateCache() { return this->StateCache; }
+  /// Sets whether this process follows the operators' documents closely, so
+  /// that others can rely on it (targets::OperatorWatcher). Call from the
+  /// thread of run().
+  void setFollower(bool Value) {
+    if (this->IsFollower != Value) {
+      this->IsFollower = Value;
+      this->Watcher.setFollower(Value);
+      log::info(std::string("event=follow-documents now=") +
+                (Value ? "yes" : "no"));
+    }
+  }
+  /// True if the documents could be read from the store lately.
+  bool isStoreUp() const { return this->Watcher.isStoreUp(); }
+  /// The number of broken watches of the documents so far.
+  uint64_t brokenWatches() const { return this->Watcher.brokenWatches(); }
   /// Guards actions() and the state on which decisions are based.
   std::mutex &mutex() { return this->Mutex; }
   /// The actions that the next flushLocked() executes. Precondition: mutex() is
@@ -159,6 +177,10 @@
                Routes ? static_cast<double>(Routes->Version) : 0);
     Page.gauge("bilberry_store_up", "1 if the store responds, else 0",
                this->Watcher.isStoreUp() ? 1 : 0);
+    Page.counter("bilberry_store_watches_broken_total",
+                 "Watches of the operators' documents that broke or went "
+                 "silent",
+                 this->Watcher.brokenWatches());
     Page.counter("bilberry_datagrams_refused_total",
                  "Datagrams that the kernel failed to send",
                  this->RefusedDatagrams);
@@ -264,6 +286,7 @@
   base::Incarnation RunIncarnation;
   targets::OperatorStateCache StateCache;
   targets::OperatorWatcher<S> Watcher;
+  bool IsFollower;
   targets::CatchUpPolicy DocumentCatchUp;
   base::RateLimiter FlowLogLimiter{MaxFlowLogLinesPerSecond};
   base::RateLimiter MalformedLogLimiter{MaxMalformedLogLinesPerSecond};
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -357,6 +357,7 @@
                                     const wire::PassedStatuses &Message,
                                     PacketActions &Out) {
   this->Peers.onMessage(Now, From, Message, Out);
+  this->recordNews(Message.Documents);
   for (const wire::PassedStatus &Passed : Message.Statuses) {
     AgentIndex Known = this->Agents.findByName(Passed.Status.Name);
     bool WasGone = Known != NoAgent && this->Agents.at(Known).IsGone;
@@ -401,9 +402,7 @@
                                    bool IsNewRun, bool IsNewlyHeard,
                                    PacketActions &Out) {
   const wire::AgentStatus &Status = this->Agents.at(Index).Status;
-  if (Status.Documents.Changed > this->NewsHeard.Changed) {
-    this->NewsHeard = Status.Documents;
-  }
+  this->recordNews(Status.Documents);
   if (Status.Condition == wire::AgentCondition::InService) {
     this->LastServedAt[Status.Service] = Now;
   }
@@ -418,6 +417,14 @@
   }
 }
 
+// Of several processes with the newest version, the one heard last is the most
+// likely to be running when the documents are fetched.
+void PacketRouter::recordNews(const wire::DocumentsVersion &Version) {
+  if (Version.Changed >= this->NewsHeard.Changed) {
+    this->NewsHeard = Version;
+  }
+}
+
 // Sends a restarted agent the flows that it is known to have held.
 void PacketRouter::sendRecalledFlows(const base::Address &To, AgentIndex Index,
                                      PacketActions &Out) {
@@ -473,22 +480,27 @@
   return {View.IsFar && !IsSilent ? FarHelloInterval : HelloInterval, IsSilent};
 }
 
-void PacketRouter::sendHellos(base::TimePoint Now, PacketActions &Out) {
+void PacketRouter::sendHellos(base::TimePoint Now, bool IsStoreCurrent,
+                              PacketActions &Out) {
+  // Agents of this data centre that rely on this balancer get a new version of
+  // the documents at once.
+  bool HasNews =
+      IsStoreCurrent && this->Operators->Changed > this->AnnouncedDocuments;
+  this->AnnouncedDocuments = this->Operators->Changed;
   // By whether the agent is asked for a status.
   std::array<std::vector<base::Address>, 2> Receivers;
   for (size_t I = 0; I < this->Agents.size(); ++I) {
     AgentView &View = this->Agents.at(static_cast<AgentIndex>(I));
     HelloPlan Plan = helloPlan(Now, View);
-    if (Now - View.LastHelloSentAt >= Plan.Interval) {
+    bool GetsNews = HasNews && Plan.Interval == HelloInterval;
+    if (GetsNews || Now - View.LastHelloSentAt >= Plan.Interval) {
       View.LastHelloSentAt = Now;
       Receivers[Plan.AsksForStatus ? 1 : 0].push_back(View.Control);
     }
   }
-  wire::BalancerHello Hello{this->Self.Name,
-                            this->Self.Run,
-                            {this->Operators->Changed, this->Self.Pages},
-                            this->Self.DataCentre,
-                            false};
+  wire::BalancerHello Hello{
+      this->Self.Name,       this->Self.Run, this->documentsVersion(),
+      this->Self.DataCentre, false,          IsStoreCurrent};
   for (bool AsksForStatus : {false, true}) {
     Hello.AsksForStatus = AsksForStatus;
     if (!Receivers[AsksForStatus ? 1 : 0].empty()) {
@@ -498,9 +510,9 @@
   }
 }
 
-void PacketRouter::onTick(base::TimePoint Now, bool AreAnnouncementsCurrent,
+void PacketRouter::onTick(base::TimePoint Now, bool IsStoreCurrent,
                           PacketActions &Out) {
-  this->HasMembers = this->HasMembers || AreAnnouncementsCurrent;
+  this->HasMembers = this->HasMembers || IsStoreCurrent;
   this->Operators = this->StateCache.current();
   for (AgentIndex Index : this->Agents.tick(Now)) {
     const AgentView &View = this->Agents.at(Index);
@@ -515,8 +527,8 @@
   this->Search.onTick(this->searchContext(Now), Out);
   this->recordLocatedFlows(Now);
   this->placeQueuedOpenings(Now, Out);
-  this->Peers.onTick(Now, AreAnnouncementsCurrent, Out);
-  this->sendHellos(Now, Out);
+  this->Peers.onTick(Now, IsStoreCurrent, this->documentsVersion(), Out);
+  this->sendHellos(Now, IsStoreCurrent, Out);
   if (Now >= this->NextExpiry) {
     this->NextExpiry = Now + ExpiryInterval;
     this->expireFlows(Now);
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -112,12 +112,13 @@
   void flush(base::TimePoint Now, packet::PacketActions &Out) {
     this->Search.flush(Now, Out);
   }
-  /// Handles timeouts. Call several times a second. AreAnnouncementsCurrent is
-  /// true if the announcements last read are up to date.
-  void onTick(base::TimePoint Now, bool AreAnnouncementsCurrent,
+  /// Handles timeouts. Call several times a second. IsStoreCurrent is true if
+  /// this balancer follows the store, and the announcements and the documents
+  /// last read are up to date.
+  void onTick(base::TimePoint Now, bool IsStoreCurrent,
               packet::PacketActions &Out);
 
-  /// True if this balancer must follow the announcements in the store itself.
+  /// True if this balancer must follow the store itself.
   bool mustFollowStore(base::TimePoint Now) const {
     return this->Peers.mustFollowStore(Now);
   }
@@ -127,6 +128,7 @@
   const SearchCounts &searchCounts() const { return this->Search.counts(); }
   /// Number of flows in the flow table.
   size_t flows() const { return this->Flows.size(); }
+  /// The newest version of the documents that another process has reported.
   const wire::DocumentsVersion &newsHeard() const { return this->NewsHeard; }
 
 private:
@@ -181,7 +183,12 @@
                        packet::PacketActions &Out);
   static HelloPlan helloPlan(base::TimePoint Now,
                              const members::AgentView &View);
-  void sendHellos(base::TimePoint Now, packet::PacketActions &Out);
+  void sendHellos(base::TimePoint Now, bool IsStoreCurrent,
+                  packet::PacketActions &Out);
+  wire::DocumentsVersion documentsVersion() const {
+    return {this->Operators->Changed, this->Self.Pages};
+  }
+  void recordNews(const wire::DocumentsVersion &Version);
   void sendRecalledFlows(const base::Address &To, members::AgentIndex Index,
                          packet::PacketActions &Out);
   base::Duration flowLifetime() const;
@@ -207,6 +214,8 @@
   bool HasMembers = false;
   base::TimePoint NextExpiry;
   wire::DocumentsVersion NewsHeard;
+  // The version of the documents in the last hellos.
+  store::StoreRevision AnnouncedDocuments = 0;
   PacketRouterCounts Counts;
 };
 
--- a/bilberry/routing/peer_balancers.cc
+++ b/bilberry/routing/peer_balancers.cc
@@ -74,7 +74,8 @@
                                this->Self.Run,
                                this->Self.DataCentre,
                                this->IsStoreCurrent,
-                               {}};
+                               {},
+                               this->Documents};
   size_t Next = 0;
   do {
     Message.Statuses.clear();
@@ -93,9 +94,12 @@
 }
 
 void PeerBalancers::onTick(base::TimePoint Now, bool IsStoreCurrent,
+                           const wire::DocumentsVersion &Documents,
                            packet::PacketActions &Out) {
+  bool HasNews = IsStoreCurrent && Documents.Changed > this->Documents.Changed;
   this->IsStoreCurrent = IsStoreCurrent;
-  if (Now < this->NextPass) {
+  this->Documents = Documents;
+  if (Now < this->NextPass && !HasNews) {
     return;
   }
   this->NextPass = Now + PassInterval;
--- a/bilberry/routing/peer_balancers.h
+++ b/bilberry/routing/peer_balancers.h
@@ -1,6 +1,6 @@
 // The other balancers of the same data centre: passes statuses of agents on to
-// them, and decides which of them follow the agents' announcements in the
-// store.
+// them, and decides which of them follow the agents' announcements and the
+// operators' documents in the store.
 //
 // An agent sends its status to all balancers of its own data centre, but only
 // to a few of each other one, and a new agent is known at first only to the
@@ -71,11 +71,13 @@
                  const wire::PassedStatuses &Message,
                  packet::PacketActions &Out);
   /// Sends what is due. Call several times a second. IsStoreCurrent is true if
-  /// this balancer follows the store and its view is current.
+  /// this balancer follows the store and its view is current; Documents is the
+  /// version of its documents. A follower sends a new version at once.
   void onTick(base::TimePoint Now, bool IsStoreCurrent,
+              const wire::DocumentsVersion &Documents,
               packet::PacketActions &Out);
 
-  /// True if this balancer must follow the announcements in the store.
+  /// True if this balancer must follow the store.
   bool mustFollowStore(base::TimePoint Now) const;
   /// The number of balancers that were heard recently.
   size_t heard(base::TimePoint Now) const;
@@ -108,6 +110,7 @@
   std::vector<members::AgentIndex> Pending;
   base::TimePoint NextPass;
   bool IsStoreCurrent = false;
+  wire::DocumentsVersion Documents;
 };
 
 } // namespace bilberry::routing
--- a/bilberry/store/etcd_store.cc
+++ b/bilberry/store/etcd_store.cc
@@ -166,10 +166,8 @@
 
 } // namespace
 
-EtcdStore::EtcdStore(base::Address Server, base::Duration CallTimeout,
-                     base::Duration WatchReadTimeout)
-    : Server(Server), CallTimeout(CallTimeout),
-      WatchReadTimeout(WatchReadTimeout) {}
+EtcdStore::EtcdStore(base::Address Server, base::Duration CallTimeout)
+    : Server(Server), CallTimeout(CallTimeout) {}
 
 base::Result<json> EtcdStore::post(const char *Path, const json &Body,
                                    CallEffect Kind) {
@@ -305,10 +303,11 @@
 base::Result<void> EtcdStore::watch(std::string_view Prefix,
                                     StoreRevision After,
                                     const WatchCallback &OnEvent,
-                                    std::stop_token Stop) {
+                                    std::stop_token Stop,
+                                    base::Duration SilenceLimit) {
   this->Counts.add(StoreCall::Watch);
   httplib::Client Client =
-      httpClient(this->Server, this->CallTimeout, this->WatchReadTimeout);
+      httpClient(this->Server, this->CallTimeout, SilenceLimit);
   WatchReader Reader(OnEvent);
   httplib::Request Request = watchRequest(Prefix, After);
   Request.response_handler = [&](const httplib::Response &Response) {
--- a/bilberry/store/etcd_store.h
+++ b/bilberry/store/etcd_store.h
@@ -17,18 +17,12 @@
 
 namespace bilberry::store {
 
-/// A watch fails after this long without an event or a progress notification.
-/// If a store sends no notifications, each idle watch fails, and is reopened,
-/// this often.
-inline constexpr base::Duration MaxWatchSilence = std::chrono::seconds(10);
-
 /// Models Store. Thread-safe. Except for watch(), each method blocks for at
 /// most the timeout to connect plus the timeout for each part of the answer.
 class EtcdStore {
 public:
-  /// Opens no connection yet. Precondition: both durations are positive.
-  EtcdStore(base::Address Server, base::Duration CallTimeout,
-            base::Duration WatchReadTimeout = MaxWatchSilence);
+  /// Opens no connection yet. Precondition: CallTimeout is positive.
+  EtcdStore(base::Address Server, base::Duration CallTimeout);
 
   /// Returns the entry of a key, if any. Errors: Unavailable.
   base::Result<std::optional<KeyValue>> get(std::string_view Key);
@@ -55,10 +49,12 @@
   base::Result<void> revokeLease(LeaseId Lease);
   /// Calls OnEvent for each change under Prefix after the revision After, and
   /// returns without an error when Stop is requested. Errors: Unavailable if
-  /// the watch breaks, is idle for too long, or asks for changes that the store
-  /// no longer has.
+  /// the watch breaks, gets neither an event nor a progress notification for
+  /// SilenceLimit, or asks for changes that the store no longer has. If a store
+  /// sends no notifications, each idle watch fails.
   base::Result<void> watch(std::string_view Prefix, StoreRevision After,
-                           const WatchCallback &OnEvent, std::stop_token Stop);
+                           const WatchCallback &OnEvent, std::stop_token Stop,
+                           base::Duration SilenceLimit = DefaultSilenceLimit);
 
   /// The number of calls made so far.
   const StoreCallCounts &counts() const { return this->Counts; }
@@ -71,7 +67,6 @@
 
   base::Address Server;
   base::Duration CallTimeout;
-  base::Duration WatchReadTimeout;
   StoreCallCounts Counts;
 };
 
--- a/bilberry/store/prefix_watcher.h
+++ b/bilberry/store/prefix_watcher.h
@@ -1,8 +1,9 @@
 // Tracks all keys under a prefix: lists them, watches for changes after the
-// listing's revision, and lists them again when the watch breaks. It also lists
-// them again after each re-read interval, because a watch may lose events or
-// stall without an error. Listings and events are reported from one thread, in
-// order: an event is always newer than the listing before it.
+// listing's revision, and lists them again when the watch breaks, also because
+// it has been silent for too long. It also lists them again after each re-read
+// interval, because a watch may lose events. Listings and events are reported
+// from one thread, in order: an event is always newer than the listing before
+// it.
 
 #ifndef BILBERRY_STORE_PREFIX_WATCHER_H
 #define BILBERRY_STORE_PREFIX_WATCHER_H
@@ -35,14 +36,15 @@
 /// Watches one prefix. Call run() from one thread; reread() is thread-safe.
 template <Store S> class PrefixWatcher {
 public:
-  /// Precondition: Source outlives the watcher; RereadInterval is positive.
+  /// Precondition: Source outlives the watcher; the durations are positive.
   /// MaxDelay limits the delay between retries while the store is down.
   PrefixWatcher(S &Source, std::string Prefix,
                 base::Duration RereadInterval = DefaultRereadInterval,
-                base::Duration MaxDelay = MaxBackoff)
+                base::Duration MaxDelay = MaxBackoff,
+                base::Duration SilenceLimit = DefaultSilenceLimit)
       : Source(Source), Prefix(std::move(Prefix)),
         RereadInterval(RereadInterval),
-        Delays(std::random_device()(), MaxDelay) {}
+        Delays(std::random_device()(), MaxDelay), SilenceLimit(SilenceLimit) {}
 
   /// Ends the current watch, so that the prefix is listed again at once. For
   /// processes that learn from another source that the watch missed changes.
@@ -54,6 +56,21 @@
     }
   }
 
+  /// Sets how long the watch may be silent before it breaks. Each check that
+  /// the store still answers is a call, so a short limit is for few processes.
+  /// A changed limit ends the current watch and lists the prefix again.
+  /// Precondition: Value is positive. Thread-safe.
+  void setSilenceLimit(base::Duration Value) {
+    std::lock_guard Lock(this->Mutex);
+    if (Value == this->SilenceLimit) {
+      return;
+    }
+    this->SilenceLimit = Value;
+    if (this->ActiveWatch) {
+      this->ActiveWatch->request_stop();
+    }
+  }
+
   /// Suspends or resumes following the prefix. Resuming lists it again; while
   /// suspended, no call is made. Thread-safe.
   void setSuspended(bool Value) {
@@ -67,13 +84,15 @@
 
   /// Blocks until Stop is requested. From this thread and one at a time, calls
   /// HandleListing(const Listing &) for each listing, HandleEvent(const
-  /// WatchEvent &) for each change after it, and HandleError(const base::Error
-  /// &) for each failed listing. A broken watch is not reported: the next
-  /// listing shows whether the store is down. Must not be called from two
-  /// threads.
-  template <typename OnListing, typename OnEvent, typename OnDown>
+  /// WatchEvent &) for each change after it, HandleError(const base::Error &)
+  /// for each failed listing, and HandleBrokenWatch(const base::Error &) for
+  /// each watch that breaks. A broken watch doesn't mean that the store is
+  /// down: the next listing shows that. Must not be called from two threads.
+  template <typename OnListing, typename OnEvent, typename OnDown,
+            typename OnBrokenWatch>
   void run(std::stop_token Stop, OnListing &&HandleListing,
-           OnEvent &&HandleEvent, OnDown &&HandleError) {
+           OnEvent &&HandleEvent, OnDown &&HandleError,
+           OnBrokenWatch &&HandleBrokenWatch) {
     while (!Stop.stop_requested()) {
       if (!this->waitUntilResumed(Stop)) {
         return;
@@ -89,12 +108,23 @@
         continue;
       }
       HandleListing(List.value());
-      if (!this->watchOnce(Stop, List.value().AtRevision, HandleEvent)) {
+      base::Result<void> Watched =
+          this->watchOnce(Stop, List.value().AtRevision, HandleEvent);
+      if (!Watched) {
+        HandleBrokenWatch(Watched.error());
         waitFor(this->Delays.next(), Stop);
       }
     }
   }
 
+  /// The same without reports of broken watches.
+  template <typename OnListing, typename OnEvent, typename OnDown>
+  void run(std::stop_token Stop, OnListing &&HandleListing,
+           OnEvent &&HandleEvent, OnDown &&HandleError) {
+    this->run(std::move(Stop), HandleListing, HandleEvent, HandleError,
+              [](const base::Error &) {});
+  }
+
   /// Time since the start of the listing that is passed to HandleListing. The
   /// listing shows the store at that start or later. Call from HandleListing
   /// only.
@@ -103,12 +133,12 @@
   }
 
 private:
-  // Watches for one re-read interval. Returns false if the watch broke.
-  bool watchOnce(const std::stop_token &Stop, StoreRevision After,
-                 const WatchCallback &HandleEvent) {
+  // Watches for one re-read interval. Returns an error if the watch broke.
+  base::Result<void> watchOnce(const std::stop_token &Stop, StoreRevision After,
+                               const WatchCallback &HandleEvent) {
     auto StartedAt = std::chrono::steady_clock::now();
     std::stop_source WatchStop;
-    this->setActiveWatch(&WatchStop);
+    base::Duration Limit = this->setActiveWatch(&WatchStop);
     std::stop_callback StopWithCaller(
         Stop, [&WatchStop] { WatchStop.request_stop(); });
     // Ends the watch after the interval, and is stopped when the watch returns.
@@ -117,21 +147,23 @@
       WatchStop.request_stop();
     });
     base::Result<void> Watched = this->Source.watch(
-        this->Prefix, After, HandleEvent, WatchStop.get_token());
+        this->Prefix, After, HandleEvent, WatchStop.get_token(), Limit);
     this->setActiveWatch(nullptr);
     if (Watched || std::chrono::steady_clock::now() - StartedAt > MaxBackoff) {
       this->Delays.reset();
     }
-    return Watched.has_value();
+    return Watched;
   }
 
-  void setActiveWatch(std::stop_source *Source) {
+  // Returns the silence limit of the watch.
+  base::Duration setActiveWatch(std::stop_source *Source) {
     std::lock_guard Lock(this->Mutex);
     this->ActiveWatch = Source;
     // setSuspended() may have been called since the listing began.
     if (Source && this->IsSuspended) {
       Source->request_stop();
     }
+    return this->SilenceLimit;
   }
 
   // Returns false if Stop was requested.
@@ -150,6 +182,7 @@
   std::stop_source *ActiveWatch = nullptr;
   std::condition_variable_any Resumed;
   bool IsSuspended = false;
+  base::Duration SilenceLimit;
 };
 
 } // namespace bilberry::store
--- a/bilberry/store/store.h
+++ b/bilberry/store/store.h
@@ -57,6 +57,9 @@
 /// Called from the watching thread, in the order of the changes.
 using WatchCallback = std::function<void(const WatchEvent &)>;
 
+/// How long a watch may be silent if its caller sets no limit.
+inline constexpr base::Duration DefaultSilenceLimit = std::chrono::seconds(10);
+
 /// Calls are thread-safe and block until the store answers or the
 /// implementation's timeout passes. Errors: Unavailable (the call had no
 /// effect), OutcomeUnknown (the write may have taken effect), LeaseExpired (the
@@ -64,8 +67,8 @@
 template <typename T>
 concept Store = requires(T &S, std::string_view Key, std::string_view Value,
                          StoreRevision Expected, LeaseId Lease,
-                         base::Duration Ttl, const WatchCallback &OnEvent,
-                         std::stop_token Stop) {
+                         base::Duration Ttl, base::Duration SilenceLimit,
+                         const WatchCallback &OnEvent, std::stop_token Stop) {
   // Returns the entry of a key, if any.
   { S.get(Key) } -> std::same_as<base::Result<std::optional<KeyValue>>>;
   // Returns all entries whose key starts with Key.
@@ -83,8 +86,12 @@
   { S.keepAlive(Lease) } -> std::same_as<base::Result<void>>;
   { S.revokeLease(Lease) } -> std::same_as<base::Result<void>>;
   // Reports changes under the prefix Key after store revision Expected, until
-  // Stop is requested or the watch breaks.
-  { S.watch(Key, Expected, OnEvent, Stop) } -> std::same_as<base::Result<void>>;
+  // Stop is requested or the watch breaks. An open connection may go silent
+  // without an error, so a watch that has received nothing for SilenceLimit
+  // fails.
+  {
+    S.watch(Key, Expected, OnEvent, Stop, SilenceLimit)
+    } -> std::same_as<base::Result<void>>;
 };
 
 } // namespace bilberry::store
--- a/bilberry/targets/operator_watcher.h
+++ b/bilberry/targets/operator_watcher.h
@@ -6,6 +6,16 @@
 // change arrives at all processes at nearly the same time; then it reads the
 // store again, in case the watch has stopped without an error; then it requests
 // the documents from the peer.
+//
+// All open connections may go silent at the same moment, without an error. If
+// every process noticed that only after a long wait, a change would take effect
+// nowhere until then. So a few processes, the followers, notice within
+// FollowerSilenceLimit, for which they call the store about once a second. The
+// others rely on them: they wait long, and learn of a change from the revision
+// in the followers' messages. A process that hears no follower becomes one.
+//
+// Designed for thousands of processes, most of which rely on followers; the
+// calls of the followers don't grow with their number.
 
 #ifndef BILBERRY_TARGETS_OPERATOR_WATCHER_H
 #define BILBERRY_TARGETS_OPERATOR_WATCHER_H
@@ -17,6 +27,7 @@
 #include <atomic>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -39,6 +50,16 @@
 /// listed when the watch breaks or a peer has newer ones.
 inline constexpr base::Duration OperatorRereadInterval = std::chrono::hours(1);
 
+/// How long the watch of a follower may be silent. With the relay to the other
+/// processes and WatchCatchUpDelay, a change is in force everywhere within 4 s
+/// after connections have gone silent.
+inline constexpr base::Duration FollowerSilenceLimit =
+    std::chrono::milliseconds(2200);
+/// The range of the same limit for the other processes. Each draws its own, so
+/// that their calls are spread over time.
+inline constexpr std::chrono::milliseconds MinRelyingSilenceLimit(16000);
+inline constexpr std::chrono::milliseconds MaxRelyingSilenceLimit(31000);
+
 /// The next action of a process whose documents are outdated.
 enum class CatchUpAction : uint8_t { Nothing, ReadStore, AskPeer };
 
@@ -85,10 +106,18 @@
 
   /// Precondition: StoreClient and StateCache outlive the watcher.
   OperatorWatcher(S &StoreClient, std::string Prefix,
-                  OperatorStateCache &StateCache, LogHandler OnLogLine)
+                  OperatorStateCache &StateCache, LogHandler OnLogLine,
+                  bool IsFollower)
       : StateCache(StateCache), OnLogLine(std::move(OnLogLine)),
+        RelyingSilenceLimit(drawRelyingSilenceLimit()),
         Documents(StoreClient, std::move(Prefix), OperatorRereadInterval,
-                  MaxStoreRetryDelay) {}
+                  MaxStoreRetryDelay, this->silenceLimit(IsFollower)) {}
+
+  /// Sets whether this process is a follower. A change reads the documents
+  /// again.
+  void setFollower(bool Value) {
+    this->Documents.setSilenceLimit(this->silenceLimit(Value));
+  }
 
   /// Watches the store. Blocks until Stop is requested.
   void run(const std::stop_token &Stop) {
@@ -109,6 +138,11 @@
             this->OnLogLine("event=store-lost reason=\"" + Cause.Message +
                             "\"");
           }
+        },
+        [this](const base::Error &Cause) {
+          ++this->BrokenWatches;
+          this->OnLogLine("event=store-watch-broken reason=\"" + Cause.Message +
+                          "\"");
         });
   }
 
@@ -127,8 +161,20 @@
   /// True while the store is reachable: from a successful listing until a
   /// failed one.
   bool isStoreUp() const { return this->StoreIsUp.load(); }
+  /// The number of watches that broke, also because they went silent.
+  uint64_t brokenWatches() const { return this->BrokenWatches.load(); }
 
 private:
+  static base::Duration drawRelyingSilenceLimit() {
+    std::uniform_int_distribution<int64_t> Milliseconds(
+        MinRelyingSilenceLimit.count(), MaxRelyingSilenceLimit.count());
+    std::random_device Source;
+    return std::chrono::milliseconds(Milliseconds(Source));
+  }
+  base::Duration silenceLimit(bool IsFollower) const {
+    return IsFollower ? FollowerSilenceLimit : this->RelyingSilenceLimit;
+  }
+
   void logLines(const std::vector<std::string> &Lines) {
     for (const std::string &Line : Lines) {
       this->OnLogLine(Line);
@@ -137,8 +183,10 @@
 
   OperatorStateCache &StateCache;
   LogHandler OnLogLine;
+  const base::Duration RelyingSilenceLimit;
   store::PrefixWatcher<S> Documents;
   std::atomic<bool> StoreIsUp{false};
+  std::atomic<uint64_t> BrokenWatches{0};
 };
 
 } // namespace bilberry::targets
--- a/bilberry/testing/fake_store.cc
+++ b/bilberry/testing/fake_store.cc
@@ -104,6 +104,7 @@
 base::Result<std::vector<store::WatchEvent>>
 FakeStore::pollChanges(const standin::KeyRange &Range,
                        store::StoreRevision After, uint64_t InitialSilenceCount,
+                       base::Duration SilenceLimit,
                        base::TimePoint &LastProgress) {
   base::TimePoint Now = this->Clock.now();
   this->State.expireLeases(Now);
@@ -114,7 +115,7 @@
     LastProgress = Now;
     return this->State.changesAfter(After, Range);
   }
-  if (Now - LastProgress >= FakeWatchSilence) {
+  if (Now - LastProgress >= SilenceLimit) {
     return unavailable("fake store: watch went silent");
   }
   return std::vector<store::WatchEvent>();
@@ -123,15 +124,16 @@
 base::Result<void> FakeStore::watch(std::string_view Prefix,
                                     store::StoreRevision After,
                                     const store::WatchCallback &OnEvent,
-                                    const std::stop_token &Stop) {
+                                    const std::stop_token &Stop,
+                                    base::Duration SilenceLimit) {
   this->Counts.add(StoreCall::Watch);
   const standin::KeyRange Range = standin::prefixRange(Prefix);
   const uint64_t InitialSilenceCount = this->watchSilenceCount();
   base::TimePoint LastProgress = this->Clock.now();
   base::Result<std::vector<store::WatchEvent>> Changes = success();
   auto HasChangesOrError = [&] {
-    Changes =
-        this->pollChanges(Range, After, InitialSilenceCount, LastProgress);
+    Changes = this->pollChanges(Range, After, InitialSilenceCount, SilenceLimit,
+                                LastProgress);
     return !Changes || !Changes.value().empty();
   };
   while (!Stop.stop_requested()) {
--- a/bilberry/testing/fake_store.h
+++ b/bilberry/testing/fake_store.h
@@ -18,8 +18,6 @@
 
 /// A call with a longer delay than this fails, but still takes effect.
 inline constexpr base::Duration FakeCallTimeout = std::chrono::seconds(1);
-/// A watch fails after this time without a progress notification.
-inline constexpr base::Duration FakeWatchSilence = std::chrono::seconds(10);
 
 /// Models store::Store, which documents the calls. Thread-safe. Only watch()
 /// blocks: a call that would hang fails at once, as if its timeout had passed.
@@ -40,9 +38,10 @@
   base::Result<store::LeaseId> grantLease(base::Duration Ttl);
   base::Result<void> keepAlive(store::LeaseId Lease);
   base::Result<void> revokeLease(store::LeaseId Lease);
-  base::Result<void> watch(std::string_view Prefix, store::StoreRevision After,
-                           const store::WatchCallback &OnEvent,
-                           const std::stop_token &Stop);
+  base::Result<void>
+  watch(std::string_view Prefix, store::StoreRevision After,
+        const store::WatchCallback &OnEvent, const std::stop_token &Stop,
+        base::Duration SilenceLimit = store::DefaultSilenceLimit);
 
   /// Replaces the injected faults.
   void setFaults(const standin::StoreFaults &Value);
@@ -65,7 +64,8 @@
   // Returns the changes after After, or the error that ends the watch.
   base::Result<std::vector<store::WatchEvent>>
   pollChanges(const standin::KeyRange &Range, store::StoreRevision After,
-              uint64_t InitialSilenceCount, base::TimePoint &LastProgress);
+              uint64_t InitialSilenceCount, base::Duration SilenceLimit,
+              base::TimePoint &LastProgress);
   uint64_t watchSilenceCount();
 
   const base::ManualClock &Clock;
--- a/bilberry/testing/holder_search_test.cc
+++ b/bilberry/testing/holder_search_test.cc
@@ -121,5 +121,51 @@
   EXPECT_GE(Hellos, 9);
 }
 
+// Guards against late changes after connections to the store went silent: the
+// agents of its data centre rely on a follower.
+TEST(PacketRouterHello, FollowerAnnouncesDocumentsAtOnce) {
+  targets::OperatorStateCache StateCache(standin::singleRouteFormat(Route));
+  base::TimePoint Now{seconds(100)};
+  PacketRouter Router({base::MemberName("balancer"),
+                       1,
+                       base::DataCentreName("here"),
+                       {},
+                       {9, 9},
+                       1000},
+                      Now, StateCache);
+  members::Member Agent;
+  Agent.Name = base::MemberName("agent");
+  Agent.DataCentre = base::DataCentreName("here");
+  Agent.Control = {2, 2};
+  Router.applyAnnouncements(Now, {Agent});
+  struct Case {
+    const char *Name;
+    bool IsStoreCurrent;
+    store::StoreRevision Revision;
+    size_t Hellos;
+  };
+  const Case Cases[] = {
+      {"first hello", true, 1, 1},     {"no change", true, 1, 0},
+      {"change", true, 2, 1},          {"announced before", true, 2, 0},
+      {"not a follower", false, 3, 0},
+  };
+  for (const Case &Item : Cases) {
+    Now += milliseconds(50);
+    StateCache.applyEvent({false, {"routes", "", Item.Revision, 0}});
+    packet::PacketActions Out;
+    Router.onTick(Now, Item.IsStoreCurrent, Out);
+    size_t Hellos = 0;
+    for (const packet::SendMessage &Action : Out.Messages) {
+      if (const auto *Hello =
+              std::get_if<wire::BalancerHello>(&Action.Message)) {
+        ++Hellos;
+        EXPECT_EQ(Hello->Documents.Changed, Item.Revision) << Item.Name;
+        EXPECT_EQ(Hello->FollowsStore, Item.IsStoreCurrent) << Item.Name;
+      }
+    }
+    EXPECT_EQ(Hellos, Item.Hellos) << Item.Name;
+  }
+}
+
 } // namespace
 } // namespace bilberry::routing
--- a/bilberry/testing/peer_balancers_test.cc
+++ b/bilberry/testing/peer_balancers_test.cc
@@ -27,6 +27,7 @@
          Run,
          DataCentre,
          FollowsStore,
+         {},
          {}},
         this->Out);
   }
@@ -102,6 +103,7 @@
                  1,
                  Here,
                  Follows[static_cast<size_t>(From)],
+                 {},
                  {}},
                 this->Out);
           }
@@ -145,20 +147,51 @@
   this->Peers.learn(this->Now, {{1, 1}, {2, 1}, {2, 2}});
   this->Peers.passOn(Index);
   this->Peers.passOn(Index);
-  this->Peers.onTick(this->Now, true, this->Out);
+  this->Peers.onTick(this->Now, true, {}, this->Out);
   ASSERT_EQ(this->Out.Messages.size(), 1U);
   EXPECT_EQ(this->Out.Messages[0].To.size(), 2U);
   EXPECT_EQ(this->statusesSent(), 1U);
   this->Out.clear();
-  this->Peers.onTick(this->Now + PassInterval / 2, true, this->Out);
+  this->Peers.onTick(this->Now + PassInterval / 2, true, {}, this->Out);
   EXPECT_TRUE(this->Out.Messages.empty());
-  this->Peers.onTick(this->Now + PassInterval, true, this->Out);
+  this->Peers.onTick(this->Now + PassInterval, true, {}, this->Out);
   EXPECT_EQ(this->statusesSent(), 0U);
   EXPECT_EQ(this->Out.Messages.size(), 1U);
   this->Out.clear();
-  this->Peers.onTick(this->Now + PeerExpiry + seconds(1), true, this->Out);
+  this->Peers.onTick(this->Now + PeerExpiry + seconds(1), true, {}, this->Out);
   EXPECT_TRUE(this->Out.Messages.empty());
 }
 
+// Guards against late changes after connections to the store went silent: the
+// others wait for what a follower reports.
+TEST_F(PeerBalancersTest, FollowerReportsNewDocumentsAtOnce) {
+  this->Peers.learn(this->Now, {{2, 1}});
+  this->Peers.onTick(this->Now, true, {1, {}}, this->Out);
+  struct Case {
+    const char *Name;
+    bool IsStoreCurrent;
+    int64_t Changed;
+    size_t Messages;
+  };
+  const Case Cases[] = {
+      {"no change", true, 1, 0},
+      {"change", true, 2, 1},
+      {"reported before", true, 2, 0},
+      {"not a follower", false, 3, 0},
+  };
+  for (const Case &Item : Cases) {
+    this->Now += milliseconds(50);
+    this->Out.clear();
+    this->Peers.onTick(this->Now, Item.IsStoreCurrent, {Item.Changed, {}},
+                       this->Out);
+    ASSERT_EQ(this->Out.Messages.size(), Item.Messages) << Item.Name;
+    for (const packet::SendMessage &Action : this->Out.Messages) {
+      EXPECT_EQ(
+          std::get<wire::PassedStatuses>(Action.Message).Documents.Changed,
+          Item.Changed);
+    }
+  }
+}
+
 } // namespace
 } // namespace bilberry::routing
--- a/bilberry/testing/prefix_watcher_test.cc
+++ b/bilberry/testing/prefix_watcher_test.cc
@@ -2,6 +2,7 @@
 #include "bilberry/testing/fake_store.h"
 #include "bilberry/testing/watch_log.h"
 
+#include <atomic>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <thread>
@@ -23,7 +24,13 @@
       : Watcher(Source, "/a/", RereadInterval),
         Thread([this](const std::stop_token &Stop) { this->run(Stop); }) {}
 
+  /// Changes how long the watch may be silent.
+  void setSilenceLimit(base::Duration Value) {
+    this->Watcher.setSilenceLimit(Value);
+  }
+
   WatchLog Log;
+  std::atomic<int> BrokenWatches = 0;
 
 private:
   void run(const std::stop_token &Stop) {
@@ -33,7 +40,8 @@
           this->Log.add("list " + std::to_string(List.Entries.size()));
         },
         this->Log.callback(),
-        [this](const base::Error &) { this->Log.add("down"); });
+        [this](const base::Error &) { this->Log.add("down"); },
+        [this](const base::Error &) { ++this->BrokenWatches; });
   }
 
   PrefixWatcher<FakeStore> Watcher;
@@ -87,11 +95,34 @@
   ASSERT_TRUE(Recorder.Log.waitForCount(1));
   ASSERT_TRUE(this->Store.put("/a/1", "x", 0));
   while (Recorder.Log.lines().size() < 2) {
-    this->Clock.advance(testing::FakeWatchSilence);
+    this->Clock.advance(DefaultSilenceLimit);
     this->Store.notifyWatches();
     std::this_thread::yield();
   }
   EXPECT_THAT(Recorder.Log.lines(), ElementsAre("list 0", "list 1"));
+  EXPECT_EQ(Recorder.BrokenWatches, 1);
+}
+
+// A process that must follow changes closely from now on may have a watch that
+// went silent long ago.
+TEST_F(PrefixWatcherTest, ListsAgainWhenTheSilenceLimitChanges) {
+  standin::StoreFaults Silent;
+  Silent.HasSilentWatches = true;
+  this->Store.setFaults(Silent);
+  RecordingWatcher Recorder(this->Store);
+  ASSERT_TRUE(Recorder.Log.waitForCount(1));
+  ASSERT_TRUE(this->Store.put("/a/1", "x", 0));
+  Recorder.setSilenceLimit(DefaultSilenceLimit);
+  Recorder.setSilenceLimit(std::chrono::seconds(2));
+  ASSERT_TRUE(Recorder.Log.waitForCount(2));
+  EXPECT_THAT(Recorder.Log.lines(), ElementsAre("list 0", "list 1"));
+  EXPECT_EQ(Recorder.BrokenWatches, 0);
+  while (Recorder.Log.lines().size() < 3) {
+    this->Clock.advance(std::chrono::seconds(2));
+    this->Store.notifyWatches();
+    std::this_thread::yield();
+  }
+  EXPECT_GE(Recorder.BrokenWatches, 1);
 }
 
 TEST(Backoff, DoublesUpToTheMaximumWithJitter) {
--- a/bilberry/testing/store_contract_test.cc
+++ b/bilberry/testing/store_contract_test.cc
@@ -22,6 +22,8 @@
 using ::testing::ElementsAre;
 
 constexpr base::Duration LongTtl = seconds(60);
+// How long a watch may be silent.
+constexpr base::Duration Silence = seconds(2);
 
 struct FakeBackend {
   base::ManualClock Clock;
@@ -30,7 +32,7 @@
   FakeStore &faults() { return this->Store; }
   // Advances the clock past the timeout of a silent watch.
   void passWatchTimeout() {
-    this->Clock.advance(FakeWatchSilence);
+    this->Clock.advance(Silence);
     this->Store.notifyWatches();
   }
 };
@@ -38,11 +40,10 @@
 struct EtcdBackend {
   // Frequent progress notifications keep watches open in a slow test run.
   static constexpr base::Duration Progress = milliseconds(50);
-  static constexpr base::Duration Silence = seconds(2);
 
   standin::StoreServer Server{16, Progress};
   store::EtcdStore Store{this->Server.start({0x7F000001, 0}).value(),
-                         seconds(1), Silence};
+                         seconds(1)};
 
   standin::StoreServer &faults() { return this->Server; }
   // Nothing to do: EtcdStore's timeout passes in real time.
@@ -221,8 +222,9 @@
     store::StoreRevision After = this->Store.list("/").value().AtRevision;
     WatchLog Log;
     std::optional<base::Result<void>> Ended;
-    std::jthread Watcher(
-        [&] { Ended = this->Store.watch("/", After, Log.callback(), {}); });
+    std::jthread Watcher([&] {
+      Ended = this->Store.watch("/", After, Log.callback(), {}, Silence);
+    });
     ASSERT_TRUE(this->Store.put("/a", "x", 0));
     ASSERT_TRUE(Log.waitForCount(1));
     this->setFaults(Faults);
--- a/bilberry/testing/target_changer_test.cc
+++ b/bilberry/testing/target_changer_test.cc
@@ -139,7 +139,8 @@
   Result<void> revokeLease(LeaseId /*Lease*/) { return this->notImplemented(); }
   Result<void> watch(std::string_view /*Key*/, StoreRevision /*After*/,
                      const store::WatchCallback & /*OnEvent*/,
-                     const std::stop_token & /*Stop*/) {
+                     const std::stop_token & /*Stop*/,
+                     base::Duration /*SilenceLimit*/) {
     return this->notImplemented();
   }
 
--- a/bilberry/wire/relay_message.h
+++ b/bilberry/wire/relay_message.h
@@ -41,9 +41,12 @@
   DocumentsVersion Documents;
   base::DataCentreName DataCentre;
   bool AsksForStatus = false;
+  /// The balancer follows the store closely, and its view is current, so that
+  /// agents may rely on it for changes of the documents.
+  bool FollowsStore = false;
 
-  MSGPACK_DEFINE(Name, Run, Documents, DataCentre,
-                 AsksForStatus); // NOLINT
+  MSGPACK_DEFINE(Name, Run, Documents, DataCentre, AsksForStatus,
+                 FollowsStore); // NOLINT
 };
 
 /// Balancer to agent, once per incarnation of the agent: the flows that the
@@ -123,11 +126,14 @@
   base::MemberName Name;
   base::Incarnation Run = 0;
   base::DataCentreName DataCentre;
-  /// The sender follows the announcements in the store, and they are current.
+  /// The sender follows the documents and the announcements in the store
+  /// closely, and its view is current.
   bool FollowsStore = false;
   std::vector<PassedStatus> Statuses;
+  DocumentsVersion Documents;
 
-  MSGPACK_DEFINE(Name, Run, DataCentre, FollowsStore, Statuses); // NOLINT
+  MSGPACK_DEFINE(Name, Run, DataCentre, FollowsStore, Statuses,
+                 Documents); // NOLINT
 };
 
 /// Balancer to agent: asks which of these flows the agent holds, in order to
--- a/daemons/bilberry_packet_agent.cc
+++ b/daemons/bilberry_packet_agent.cc
@@ -21,7 +21,7 @@
     return *Code;
   }
   const settings::PacketSettings &Settings = PacketProgram.settings();
-  platform::KvStore Store(Settings.Store.Address, PacketProgram.seed());
+  platform::KvStore Store(Settings.Store.Address);
   agent::PacketAgentProcess<platform::PacketHeader, platform::KvStore> Agent(
       Settings, Store,
       {platform::OperatorKeyPrefix, platform::documentFormat()});
--- a/daemons/bilberry_packet_balancer.cc
+++ b/daemons/bilberry_packet_balancer.cc
@@ -21,7 +21,7 @@
     return *Code;
   }
   const settings::PacketSettings &Settings = PacketProgram.settings();
-  platform::KvStore Store(Settings.Store.Address, PacketProgram.seed());
+  platform::KvStore Store(Settings.Store.Address);
   balancer::PacketBalancer<platform::PacketHeader, platform::KvStore> Balancer(
       Settings, Store,
       {platform::OperatorKeyPrefix, platform::documentFormat()});
