Treat an upstream as cold after its packets show a restart

Cause: a packet that the new run returned as unknown counted as an answer, so the agent took new flows again with the last heartbeat of the crashed run, by which the upstream was warm.

Fix: the admission distinguishes packets of open flows, which prove that the run is the same, from those that any run may send. A returned packet of a flow that was held, or an inconclusive one after a silence, makes the upstream count as cold until its next heartbeat. Flows past their idle timeout prove nothing, so that a live upstream isn't slowed down.

--- a/bilberry/admission/new_flow_admission.cc
+++ b/bilberry/admission/new_flow_admission.cc
@@ -30,13 +30,10 @@
     this->EvacuationEndedAt = Context.Now;
   }
   this->WasDataCentreEvacuated = IsEvacuated;
-  bool HasTimedOut =
-      this->UnansweredSince &&
-      Context.Now - *this->UnansweredSince > MaxResponseDelay &&
-      Context.Upstream.lastHeartbeatAt() <= *this->UnansweredSince;
   bool IsResponsive = Context.Upstream.isResponsive(Context.Now) &&
                       Context.Upstream.lastHeartbeatAt() >= this->PausedUntil;
-  if (!IsResponsive || HasTimedOut || !findServiceRule(Context)) {
+  if (!IsResponsive || this->hasTimedOut(Context.Now) ||
+      !findServiceRule(Context)) {
     return HopTag::NoUpstream;
   }
   if (Context.Upstream.currentRun()->IsDraining) {
@@ -73,10 +70,26 @@
   return this->remainingNewFlows(Context) > 0 ? HopTag::None : HopTag::Cold;
 }
 
+bool NewFlowAdmission::hasTimedOut(base::TimePoint Now) const {
+  return this->UnansweredSince &&
+         Now - *this->UnansweredSince > MaxResponseDelay;
+}
+
+bool NewFlowAdmission::recordPacketReceived(base::TimePoint Now,
+                                            UpstreamEvidence Evidence) {
+  bool ShowsRestart =
+      Evidence == UpstreamEvidence::LostFlow ||
+      (Evidence == UpstreamEvidence::Inconclusive && this->hasTimedOut(Now));
+  this->UnansweredSince.reset();
+  bool IsNewSuspicion = ShowsRestart && !this->IsRestartSuspected;
+  this->IsRestartSuspected = this->IsRestartSuspected || ShowsRestart;
+  return IsNewSuspicion;
+}
+
 // An upstream may turn cold while its data centre is evacuated, so it is
 // treated as cold from the end of the evacuation until its next heartbeat.
 bool NewFlowAdmission::isCold(const NewFlowContext &Context) const {
-  return Context.Upstream.isCold(Context.Now) ||
+  return this->IsRestartSuspected || Context.Upstream.isCold(Context.Now) ||
          Context.Upstream.lastHeartbeatAt() < this->EvacuationEndedAt;
 }
 
--- a/bilberry/admission/new_flow_admission.h
+++ b/bilberry/admission/new_flow_admission.h
@@ -8,6 +8,12 @@
 //
 // This protects against all balancers sending new flows to the same upstream
 // at once, right after it has restarted cold or just before it stops.
+//
+// An upstream that was restarted answers packets before it sends its first
+// heartbeat. Until then the last heartbeat describes the run before, which may
+// have been warm. So an upstream that returns packets of flows that it held, or
+// that answers only new flows after a silence, counts as cold until its next
+// heartbeat.
 
 #ifndef BILBERRY_ADMISSION_NEW_FLOW_ADMISSION_H
 #define BILBERRY_ADMISSION_NEW_FLOW_ADMISSION_H
@@ -42,6 +48,17 @@
 inline constexpr base::Duration MaxResponseDelay =
     std::chrono::milliseconds(400);
 
+/// What a packet from the upstream shows about its current run.
+enum class UpstreamEvidence : uint8_t {
+  /// Belongs to an open flow: the run that opened the flow is still running.
+  HoldsFlow,
+  /// May come from any run, such as the answer to an opening packet.
+  Inconclusive,
+  /// Returned as unknown although the upstream held the flow: the upstream has
+  /// been restarted.
+  LostFlow,
+};
+
 /// The input of an admission decision. References are valid for one call.
 struct NewFlowContext {
   base::TimePoint Now;
@@ -93,8 +110,14 @@
   /// Records that a packet that requires a response was delivered to the
   /// upstream.
   void recordPacketSent(base::TimePoint Now);
-  /// Records that the upstream has sent something.
-  void recordResponse() { this->UnansweredSince.reset(); }
+  /// Records a heartbeat, which describes the upstream's current run.
+  void recordHeartbeat() {
+    this->UnansweredSince.reset();
+    this->IsRestartSuspected = false;
+  }
+  /// Records a packet from the upstream. Returns true if the upstream counts as
+  /// cold from now until its next heartbeat.
+  bool recordPacketReceived(base::TimePoint Now, UpstreamEvidence Evidence);
   /// The number of new flows that may still be admitted in this window;
   /// unlimited for a warm upstream.
   uint32_t remainingNewFlows(const NewFlowContext &Context) const;
@@ -105,6 +128,7 @@
 
 private:
   bool isCold(const NewFlowContext &Context) const;
+  bool hasTimedOut(base::TimePoint Now) const;
   uint32_t maxColdNewFlows(const NewFlowContext &Context) const;
 
   base::DataCentreName DataCentre;
@@ -116,6 +140,7 @@
   bool WasDataCentreEvacuated = false;
   base::TimePoint EvacuationEndedAt;
   std::optional<base::TimePoint> UnansweredSince;
+  bool IsRestartSuspected = false;
   base::TimePoint PausedUntil;
 };
 
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -225,7 +225,6 @@
 
 void PacketAgent::onUpstreamPacket(base::TimePoint Now, const Packet &Packet,
                                    PacketActions &Out) {
-  this->Admission.recordResponse();
   if (Packet.IsBounced) {
     this->onBounced(Now, Packet, Out);
     return;
@@ -236,7 +235,12 @@
     Flow = &this->Flows.start(
         Now, Id, Packet.IsSyn ? FlowStage::Opening : FlowStage::Open);
   }
+  this->recordEvidence(Now,
+                       Packet.IsSyn ? admission::UpstreamEvidence::Inconclusive
+                                    : admission::UpstreamEvidence::HoldsFlow,
+                       Out);
   Flow->LastPacketAt = Now;
+  Flow->LastUpstreamPacketAt = Now;
   Flow->IsBeingProbed = false;
   if (Packet.IsSyn) {
     Flow->UpstreamSequence = Packet.Sequence;
@@ -259,6 +263,13 @@
   ++this->Counts.Bounced;
   FlowId Id = Packet.flowFromCaller();
   HeldFlow *Flow = this->Flows.find(Id);
+  // The upstream may discard a flow that has been idle for longer.
+  bool WasHeld = Flow && Flow->Stage == FlowStage::Open &&
+                 Now - Flow->LastUpstreamPacketAt < this->idleTimeout();
+  this->recordEvidence(Now,
+                       WasHeld ? admission::UpstreamEvidence::LostFlow
+                               : admission::UpstreamEvidence::Inconclusive,
+                       Out);
   bool IsFlowEnded = !Flow || Flow->Stage == FlowStage::Ending ||
                      Flow->Stage == FlowStage::Absent;
   if (IsFlowEnded) {
@@ -281,6 +292,19 @@
   this->returnPacket(Balancer, Packet, Reason, Out);
 }
 
+void PacketAgent::recordEvidence(base::TimePoint Now,
+                                 admission::UpstreamEvidence Evidence,
+                                 PacketActions &Out) {
+  if (this->Admission.recordPacketReceived(Now, Evidence)) {
+    ++this->Counts.SuspectedRestarts;
+    Out.Events.push_back(
+        std::string("event=upstream-restart-suspected reason=\"") +
+        (Evidence == admission::UpstreamEvidence::LostFlow
+             ? "it lost an open flow\""
+             : "it answered after a silence\""));
+  }
+}
+
 void PacketAgent::reset(base::TimePoint Now, const FlowId &Id, HeldFlow &Flow,
                         std::string_view Reason, PacketActions &Out) {
   Out.Resets.push_back({Id, Flow.CallerAcknowledged});
@@ -346,7 +370,7 @@
   case members::HeartbeatOutcome::Known:
     break;
   }
-  this->Admission.recordResponse();
+  this->Admission.recordHeartbeat();
   if (this->condition(this->openingContext(Now)) != this->LastSentCondition) {
     this->sendStatus(Now, true, Out);
   }
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -78,6 +78,7 @@
   uint64_t Dropped = 0;
   uint64_t StaleReports = 0;
   uint64_t ForeignReports = 0;
+  uint64_t SuspectedRestarts = 0;
 };
 
 /// Not thread-safe: the process guards it with one mutex.
@@ -158,6 +159,8 @@
                     packet::HopTag Reason, packet::PacketActions &Out);
   void onBounced(base::TimePoint Now, const packet::Packet &Packet,
                  packet::PacketActions &Out);
+  void recordEvidence(base::TimePoint Now, admission::UpstreamEvidence Evidence,
+                      packet::PacketActions &Out);
   void reset(base::TimePoint Now, const packet::FlowId &Id,
              routing::HeldFlow &Flow, std::string_view Reason,
              packet::PacketActions &Out);
--- a/bilberry/agent/packet_agent_process.cc
+++ b/bilberry/agent/packet_agent_process.cc
@@ -28,6 +28,10 @@
   Page.counter("bilberry_upstream_reports_foreign_total",
                "Heartbeats of another service or address than the upstream's",
                Counts.ForeignReports);
+  Page.counter("bilberry_upstream_restarts_suspected_total",
+               "Times that the upstream's packets showed a restart before its "
+               "heartbeats did",
+               Counts.SuspectedRestarts);
   Page.gauge("bilberry_flows_held", "Flows that the upstream holds",
              static_cast<double>(Agent.flows()));
 }
--- a/bilberry/routing/held_flows.h
+++ b/bilberry/routing/held_flows.h
@@ -56,6 +56,9 @@
   base::Address Balancer;
   base::TimePoint OpenedAt;
   base::TimePoint LastPacketAt;
+  /// When the upstream last sent a packet of the flow; the epoch if this agent
+  /// hasn't relayed one.
+  base::TimePoint LastUpstreamPacketAt;
 };
 
 /// How long a flow that doesn't complete its opening is retained. Callers give
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 const base::Address Route = {0xC6120001, 8443};
 const base::Address Balancer = {0x0A010001, 7001};
@@ -76,6 +77,33 @@
     this->Agent.onUpstreamPacket(this->Clock.now(), Packet, this->Out);
   }
 
+  // Advances the clock without a pause of the process.
+  void passTime(base::Duration Time) {
+    constexpr base::Duration Step = milliseconds(500);
+    for (; Time > Step; Time -= Step) {
+      this->Clock.advance(Step);
+      this->Agent.onTick(this->Clock.now(), this->Out);
+    }
+    this->Clock.advance(Time);
+  }
+
+  void sendHeartbeatIf(bool Condition) {
+    if (Condition) {
+      this->sendHeartbeat();
+    }
+  }
+
+  // The upstream returns a packet of the flow as unknown.
+  void returnCallerPacket(uint16_t Port) {
+    packet::Packet Packet;
+    Packet.Source = {0x64400001, Port};
+    Packet.Destination = Route;
+    Packet.IsAck = true;
+    Packet.IsBounced = true;
+    Packet.Sequence = 102;
+    this->Agent.onUpstreamPacket(this->Clock.now(), Packet, this->Out);
+  }
+
   // Opens a flow and completes one request on it.
   void completeRequest(uint16_t Port) {
     ASSERT_EQ(this->sendCallerPacket(Port, true, 1, 0), packet::HopTag::None);
@@ -192,6 +220,74 @@
       << "nothing is sent to an upstream any more";
 }
 
+// Guards against a flood of new flows at an upstream that crashed and came back
+// cold: until its first heartbeat, only its packets show the restart.
+TEST_F(PacketAgentTest, RestartedUpstreamCountsAsColdUntilItsHeartbeat) {
+  enum class Evidence : uint8_t {
+    ReturnsOpenFlow,
+    ReturnsIdleFlow,
+    AnswersOpeningAfterSilence,
+    AnswersOpenFlowAfterSilence,
+  };
+  struct Case {
+    const char *Name;
+    Evidence What;
+    bool IsCold;
+  };
+  const Case Cases[] = {
+      {"returns an open flow", Evidence::ReturnsOpenFlow, true},
+      {"returns a flow past its idle timeout", Evidence::ReturnsIdleFlow,
+       false},
+      {"answers an opening packet after a silence",
+       Evidence::AnswersOpeningAfterSilence, true},
+      {"answers an open flow after a silence",
+       Evidence::AnswersOpenFlowAfterSilence, false},
+  };
+  constexpr uint16_t ColdLimit = 5;
+  uint16_t Port = 1;
+  for (const Case &Item : Cases) {
+    SCOPED_TRACE(Item.Name);
+    this->completeRequest(Port);
+    ASSERT_EQ(this->sendCallerPacket(Port + 1, true, 1, 0),
+              packet::HopTag::None);
+    this->passTime(Item.What == Evidence::ReturnsIdleFlow
+                       ? agent::DefaultIdleTimeout
+                       : admission::MaxResponseDelay + milliseconds(1));
+    this->sendHeartbeatIf(Item.What == Evidence::ReturnsIdleFlow);
+    switch (Item.What) {
+    case Evidence::ReturnsOpenFlow:
+    case Evidence::ReturnsIdleFlow:
+      this->returnCallerPacket(Port);
+      break;
+    case Evidence::AnswersOpeningAfterSilence:
+      this->sendUpstreamPacket(Port + 1, true, 1000, 0);
+      break;
+    case Evidence::AnswersOpenFlowAfterSilence:
+      this->sendUpstreamPacket(Port, false, 1301, 300);
+      break;
+    }
+    this->passTime(admission::ColdRateWindow);
+    Port += 2;
+    for (uint16_t I = 0; I < ColdLimit; ++I) {
+      EXPECT_EQ(this->sendCallerPacket(Port++, true, 1, 0),
+                packet::HopTag::None);
+    }
+    EXPECT_EQ(this->sendCallerPacket(Port++, true, 1, 0),
+              Item.IsCold ? packet::HopTag::Cold : packet::HopTag::None);
+    this->sendHeartbeat();
+    this->passTime(seconds(2));
+    this->sendHeartbeat();
+    for (uint16_t I = 0; I <= ColdLimit; ++I) {
+      EXPECT_EQ(this->sendCallerPacket(Port++, true, 1, 0),
+                packet::HopTag::None)
+          << "its heartbeat says that it is warm";
+    }
+    this->passTime(seconds(2));
+    this->sendHeartbeat();
+  }
+  EXPECT_EQ(this->Agent.counts().SuspectedRestarts, 2U);
+}
+
 class FreeCapacityTest : public PacketAgentTest,
                          public ::testing::WithParamInterface<const char *> {};
 
