Hold against odd entries among the members' announcements

Another operator reported that an entry of another writer among those of the servers (deeply nested, a number too large, a port out of range) ended the machines that read the list, or stopped them from following it.

Here no odd entry ended a process, and none hid other entries. But with the checks switched off, four of the fifteen were taken for valid: a run of 64 bits, a port 0, an unknown field that is deeply nested or long. Under the key of a member, the run of 64 bits outranked every later announcement of that member, and its announcer gave up its key.

--- a/bilberry/members/member_text.cc
+++ b/bilberry/members/member_text.cc
@@ -16,6 +16,13 @@
                                       MemberState::Draining,
                                       MemberState::Leaving};
 
+// A valid announcement has a few hundred bytes. A value of the store's largest
+// size, parsed as JSON, could exceed a process's memory.
+static constexpr size_t MaxAnnouncementBytes = 4096;
+// Larger integers aren't exact in JSON. An announcement with the largest run
+// would outrank every later one of its member.
+static constexpr uint64_t MaxRun = uint64_t(1) << 53U;
+
 static Error invalidField(const char *Name) {
   return {ErrorCode::Malformed, std::string("announcement: field '") + Name +
                                     "' is missing or invalid"};
@@ -43,7 +50,7 @@
                                                 const char *Name) {
   BOOST_OUTCOME_TRY(Text, textField(Object, Name));
   base::Result<base::Address> Address = base::parseAddress(Text);
-  if (!Address) {
+  if (!Address || Address.value().Port == 0) {
     return invalidField(Name);
   }
   return Address;
@@ -79,6 +86,9 @@
 }
 
 base::Result<Member> parseMember(std::string_view Text) {
+  if (Text.size() > MaxAnnouncementBytes) {
+    return Error{ErrorCode::Malformed, "announcement: too long"};
+  }
   json Object = json::parse(Text, nullptr, /*allow_exceptions=*/false);
   if (!Object.is_object()) {
     return Error{ErrorCode::Malformed, "announcement: not a JSON object"};
@@ -92,6 +102,9 @@
   BOOST_OUTCOME_TRY(Data, addressField(Object, "data"));
   BOOST_OUTCOME_TRY(Control, addressField(Object, "control"));
   BOOST_OUTCOME_TRY(Applied, numberField(Object, "applied"));
+  if (Run > MaxRun) {
+    return invalidField("run");
+  }
   if (Name.empty()) {
     return invalidField("name");
   }
--- a/bilberry/testing/member_tracker_test.cc
+++ b/bilberry/testing/member_tracker_test.cc
@@ -3,7 +3,9 @@
 
 #include "bilberry/members/announcer.h"
 #include "bilberry/members/member_watcher.h"
+#include "bilberry/targets/fleet_list.h"
 #include "bilberry/testing/fake_store.h"
+#include "bilberry/testing/odd_entries.h"
 #include "bilberry/testing/watch_log.h"
 
 #include <gtest/gtest.h>
@@ -307,5 +309,36 @@
   EXPECT_TRUE(WaitFor([&] { return !Table.find(agent().Name); }));
 }
 
+// Guards against a watcher that ends, or that no longer follows the members,
+// after another writer has left an odd entry among theirs.
+TEST(OddEntries, DoNotHideOtherMembers) {
+  Member Other = agent();
+  Other.Name = base::MemberName("b");
+  for (const testing::OddEntry &Odd : testing::oddEntries(agent())) {
+    SCOPED_TRACE(Odd.Name);
+    TrackerDriver Driver;
+    store::KeyValue Entry{store::memberKey(base::MemberName("aa")), Odd.Value,
+                          11, 0};
+    Driver.listEntries({Driver.entry(agent()), Entry, Driver.entry(Other)});
+    EXPECT_EQ(Driver.Tracker.malformedEntries(), 1U);
+    EXPECT_FALSE(Driver.Tracker.isStoreDown());
+    EXPECT_EQ(Driver.Table.all().size(), 2U);
+    Entry.Changed = ++Driver.Revision;
+    Driver.Tracker.applyEvent(Driver.Now, {false, Entry});
+    // Also under the key of a member that is known.
+    Entry.Key = store::memberKey(agent().Name);
+    Entry.Changed = ++Driver.Revision;
+    Driver.Tracker.applyEvent(Driver.Now, {false, Entry});
+    EXPECT_EQ(Driver.Tracker.malformedEntries(), 3U);
+    Member Restarted = agent(agent().Run + 1);
+    Driver.putMember(Restarted);
+    EXPECT_EQ(Driver.Table.find(agent().Name), Restarted);
+    targets::FleetList Fleet = targets::readFleet(
+        {{Driver.entry(Restarted), Entry, Driver.entry(Other)}, 20});
+    EXPECT_EQ(Fleet.Members.size(), 2U);
+    EXPECT_EQ(Fleet.UnreadableKeys.size(), 1U);
+  }
+}
+
 } // namespace
 } // namespace bilberry::members
