--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -663,7 +663,7 @@
 
 bool PacketAgent::mustFollowStore(base::TimePoint Now) const {
   return Now - this->StartedAt >= FollowerDiscoveryTime &&
-         !this->Balancers.hearsFollower(Now);
+         !this->Balancers.hasFollower(Now);
 }
 
 void PacketAgent::onTick(base::TimePoint Now, PacketActions &Out) {
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -130,8 +130,8 @@
   const wire::DocumentsVersion &newestDocuments() const {
     return this->NewestDocumentsVersion;
   }
-  /// True if this agent must follow the store itself, because it hears no
-  /// balancer that does.
+  /// True if this agent must follow the store itself, because no balancer that
+  /// does has sent a message lately.
   bool mustFollowStore(base::TimePoint Now) const;
 
 private:
--- a/bilberry/agent/status_receivers.cc
+++ b/bilberry/agent/status_receivers.cc
@@ -86,7 +86,7 @@
   return Found;
 }
 
-bool StatusReceivers::hearsFollower(base::TimePoint Now) const {
+bool StatusReceivers::hasFollower(base::TimePoint Now) const {
   return std::ranges::any_of(this->Balancers, [&](const auto &Known) {
     return Known.second.FollowsStore &&
            Known.second.DataCentre == this->DataCentre &&
--- a/bilberry/agent/status_receivers.h
+++ b/bilberry/agent/status_receivers.h
@@ -75,9 +75,9 @@
   balancersIn(const base::DataCentreName &Name) const;
   /// The balancers of this data centre that were heard recently.
   std::vector<base::Address> nearBalancers(base::TimePoint Now) const;
-  /// True if a balancer of this data centre that follows the store was heard
-  /// recently.
-  bool hearsFollower(base::TimePoint Now) const;
+  /// True if a balancer of this data centre that follows the store has sent a
+  /// message within FollowerTimeout.
+  bool hasFollower(base::TimePoint Now) const;
   /// The balancers of the other data centres that pass statuses on, without
   /// those of farPlacers().
   std::vector<base::Address> relays(base::TimePoint Now) const;
--- a/bilberry/members/upstream_record.h
+++ b/bilberry/members/upstream_record.h
@@ -50,9 +50,8 @@
   Foreign,
 };
 
-/// Returns true if the record reflects a heartbeat with this outcome. An
-/// upstream must not be told that any other one was accepted: it may have said
-/// that it is draining.
+/// Returns true if the record reflects a heartbeat with this outcome. Any other
+/// one must not be acknowledged: it may have reported draining.
 inline bool isApplied(HeartbeatOutcome Outcome) {
   return Outcome == HeartbeatOutcome::Known ||
          Outcome == HeartbeatOutcome::NewRun ||
--- a/bilberry/node/packet_node.h
+++ b/bilberry/node/packet_node.h
@@ -71,7 +71,7 @@
 /// call run() with handlers.
 template <packet::PacketFormat Format, store::Store S> class PacketNode {
 public:
-  /// Precondition: Source outlives the node. IsFollower: see
+  /// Precondition: Source outlives the node. IsFollower is the initial value of
   /// setFollower().
   PacketNode(const settings::PacketSettings &Settings, S &Source,
              DocumentSource Documents, bool IsFollower)
--- a/bilberry/targets/operator_watcher.h
+++ b/bilberry/targets/operator_watcher.h
@@ -12,7 +12,7 @@
 // nowhere until then. So a few processes, the followers, notice within
 // FollowerSilenceLimit, for which they call the store about once a second. The
 // others rely on them: they wait long, and learn of a change from the revision
-// in the followers' messages. A process that hears no follower becomes one.
+// in the followers' messages. A process without such messages becomes one.
 //
 // Designed for thousands of processes, most of which rely on followers; the
 // calls of the followers don't grow with their number.
--- a/bilberry/testing/holder_search_test.cc
+++ b/bilberry/testing/holder_search_test.cc
@@ -91,28 +91,38 @@
   }
 }
 
-// Messages to and from an agent may be lost for seconds while a link is
-// overloaded. A balancer must go on asking an announced agent for its status:
-// it resets the flows of an agent that it doesn't know.
-TEST(PacketRouterHello, AnnouncedAgentIsAskedUntilItIsHeard) {
-  targets::OperatorStateCache StateCache(standin::singleRouteFormat(Route));
+class PacketRouterHello : public ::testing::Test {
+protected:
+  // Announces an agent in the given data centre to the router.
+  void announceAgent(const char *DataCentre) {
+    members::Member Agent;
+    Agent.Name = base::MemberName("agent");
+    Agent.DataCentre = base::DataCentreName(DataCentre);
+    Agent.Control = {2, 2};
+    this->Router.applyAnnouncements(this->Now, {Agent});
+  }
+
+  targets::OperatorStateCache StateCache{standin::singleRouteFormat(Route)};
   base::TimePoint Now{seconds(100)};
-  PacketRouter Router({base::MemberName("balancer"),
+  PacketRouter Router{{base::MemberName("balancer"),
                        1,
                        base::DataCentreName("here"),
                        {},
                        {9, 9},
                        1000},
-                      Now, StateCache);
-  members::Member Agent;
-  Agent.Name = base::MemberName("agent");
-  Agent.DataCentre = base::DataCentreName("elsewhere");
-  Agent.Control = {2, 2};
+                      Now,
+                      StateCache};
+};
+
+// Messages to and from an agent may be lost for seconds while a link is
+// overloaded. A balancer must go on asking an announced agent for its status:
+// it resets the flows of an agent that it doesn't know.
+TEST_F(PacketRouterHello, AnnouncedAgentIsAskedUntilItIsHeard) {
   packet::PacketActions Out;
   for (int I = 0; I < 200; ++I) {
-    Now += milliseconds(50);
-    Router.applyAnnouncements(Now, {Agent});
-    Router.onTick(Now, true, Out);
+    this->Now += milliseconds(50);
+    this->announceAgent("elsewhere");
+    this->Router.onTick(this->Now, true, Out);
   }
   auto Hellos = std::ranges::count_if(
       Out.Messages, [](const packet::SendMessage &Action) {
@@ -123,21 +133,8 @@
 
 // Guards against late changes after connections to the store went silent: the
 // agents of its data centre rely on a follower.
-TEST(PacketRouterHello, FollowerAnnouncesDocumentsAtOnce) {
-  targets::OperatorStateCache StateCache(standin::singleRouteFormat(Route));
-  base::TimePoint Now{seconds(100)};
-  PacketRouter Router({base::MemberName("balancer"),
-                       1,
-                       base::DataCentreName("here"),
-                       {},
-                       {9, 9},
-                       1000},
-                      Now, StateCache);
-  members::Member Agent;
-  Agent.Name = base::MemberName("agent");
-  Agent.DataCentre = base::DataCentreName("here");
-  Agent.Control = {2, 2};
-  Router.applyAnnouncements(Now, {Agent});
+TEST_F(PacketRouterHello, FollowerAnnouncesDocumentsAtOnce) {
+  this->announceAgent("here");
   struct Case {
     const char *Name;
     bool IsStoreCurrent;
@@ -150,10 +147,10 @@
       {"not a follower", false, 3, 0},
   };
   for (const Case &Item : Cases) {
-    Now += milliseconds(50);
-    StateCache.applyEvent({false, {"routes", "", Item.Revision, 0}});
+    this->Now += milliseconds(50);
+    this->StateCache.applyEvent({false, {"routes", "", Item.Revision, 0}});
     packet::PacketActions Out;
-    Router.onTick(Now, Item.IsStoreCurrent, Out);
+    this->Router.onTick(this->Now, Item.IsStoreCurrent, Out);
     size_t Hellos = 0;
     for (const packet::SendMessage &Action : Out.Messages) {
       if (const auto *Hello =
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -210,7 +210,7 @@
   EXPECT_EQ(this->sendCallerPacket(9, true, 1, 0), packet::HopTag::None);
 }
 
-// A run that isn't the current one must not be told that its leaving was noted.
+// A leave message of a run that isn't the current one must not be acknowledged.
 TEST_F(PacketAgentTest, LeaveOfAnotherRunIsNotAcknowledged) {
   EXPECT_FALSE(this->Agent.onLeave(this->Clock.now(), "other", this->Out));
   EXPECT_TRUE(this->Agent.upstream().currentRun().has_value());
