--- a/bilberry/testing/target_changer_test.cc
+++ b/bilberry/testing/target_changer_test.cc
@@ -82,7 +82,9 @@
     }
   }
 
-  void setMember(const members::Member &Member) {
+  // Announces a member. The tests don't use its addresses.
+  void setMember(members::Member Member) {
+    Member.Data = Member.Control = {0x7F000001, 4000};
     this->write(store::memberKey(Member.Name),
                 members::serializeMember(Member));
   }
