--- a/bilberry/testing/odd_entries.h
+++ b/bilberry/testing/odd_entries.h
@@ -45,7 +45,7 @@
       {"negative port", Replace(Port, Ip + "-1")},
       {"port 0", Replace(Port, Ip + "0")},
       {"not UTF-8", Replace("\"agent\"", "\"\xff\xfe\"")},
-      {"long name",
+      {"long unknown field",
        Replace("{", R"({"other":")" + std::string(200000, 'x') + "\",")},
       {"empty", ""},
   };
--- a/bilberry/testing/store_contract_test.cc
+++ b/bilberry/testing/store_contract_test.cc
@@ -4,6 +4,7 @@
 #include "bilberry/standin/store_server.h"
 #include "bilberry/store/etcd_store.h"
 #include "bilberry/testing/fake_store.h"
+#include "bilberry/testing/odd_entries.h"
 #include "bilberry/testing/watch_log.h"
 
 #include <gmock/gmock.h>
@@ -205,6 +206,36 @@
                                        "delete /a/1", "delete /a/2"));
 }
 
+// Another writer has left odd entries: all others are still listed and
+// reported.
+TYPED_TEST(StoreContract, OddEntriesDoNotHideOthers) {
+  members::Member Member;
+  Member.Name = base::MemberName("a");
+  Member.DataCentre = base::DataCentreName("mobile");
+  Member.Service = base::ServiceName("rounds");
+  Member.Run = 7;
+  Member.Data = Member.Control = {0x7F000001, 4000};
+  store::StoreRevision After = this->Store.list("/a/").value().AtRevision;
+  size_t Count = 0;
+  for (const OddEntry &Odd : oddEntries(Member)) {
+    ASSERT_TRUE(this->Store.put("/a/" + std::to_string(Count++), Odd.Value, 0));
+  }
+  ASSERT_TRUE(this->Store.put("/a/last", serializeMember(Member), 0));
+  auto Listed = this->Store.list("/a/");
+  ASSERT_TRUE(Listed);
+  ASSERT_EQ(Listed.value().Entries.size(), Count + 1);
+  EXPECT_EQ(members::parseMember(Listed.value().Entries.back().Value).value(),
+            Member);
+  WatchLog Log;
+  std::stop_source Stop;
+  std::jthread Watcher([&] {
+    EXPECT_TRUE(
+        this->Store.watch("/a/", After, Log.callback(), Stop.get_token()));
+  });
+  EXPECT_TRUE(Log.waitForCount(Count + 1));
+  Stop.request_stop();
+}
+
 TYPED_TEST(StoreContract, StoppedWatchEndsAtOnce) {
   std::stop_source Stop;
   Stop.request_stop();
