Handle a restore of the store from an older copy

The platform's store may come back from a copy that is some seconds old: revisions and lease ids are assigned again, and what was acknowledged since is gone. Before, a listing with a lower revision was ignored for good, a watch could go on from a revision with another meaning, and a lease could be renewed or revoked that belonged to another process.

Listings, events and the versions that processes report to each other carry the era and are ordered by it first; answers of an older era are rejected; leases are granted and announcements written again, spread over a second; routes never go back; an evacuation that the copy lacks stays for 5 s.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -426,7 +426,7 @@
   bool IsNew = this->Balancers.record(Now, From, Hello);
   // Of several balancers with the newest version, the one heard last is the
   // most likely to be running when the documents are fetched.
-  if (Hello.Documents.Changed >= this->NewestDocumentsVersion.Changed) {
+  if (!wire::isNewer(this->NewestDocumentsVersion, Hello.Documents)) {
     this->NewestDocumentsVersion = Hello.Documents;
   }
   if (!IsNew && !Hello.AsksForStatus) {
@@ -533,7 +533,8 @@
   Status.WaitingFlows = this->waitingFlows(Now);
   Status.Flows = this->Flows.inStage(FlowStage::Open);
   Status.KnowsAllFlows = this->knowsAllFlows(Now);
-  Status.Documents = {Context.Operators.Changed, this->Self.Pages};
+  Status.Documents = {Context.Operators.Changed, this->Self.Pages,
+                      Context.Operators.Era};
   Status.Sequence = ++this->LastSequence;
   if (const auto &Report = this->Upstream.currentRun()) {
     Status.Service = Report->Service;
--- a/bilberry/members/announcer.h
+++ b/bilberry/members/announcer.h
@@ -20,6 +20,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <random>
 #include <utility>
 
 namespace bilberry::members {
@@ -31,6 +32,10 @@
 /// that, other processes learn of the stop when the lease expires.
 inline constexpr base::Duration WithdrawTimeout = std::chrono::seconds(3);
 
+/// After a restore of the store, processes announce themselves again spread
+/// over this time: a few thousand writes at once would exceed its capacity.
+inline constexpr std::chrono::milliseconds RestoreSpread(1000);
+
 /// Announces one process. status() may be called from any thread, all other
 /// methods from one thread only.
 template <store::Store S, base::Clock C> class Announcer {
@@ -41,7 +46,7 @@
             const board::LocalMember &Local, uint32_t Seed,
             base::Duration Ttl = LeaseTtl)
       : StoreClient(StoreClient), TimeSource(TimeSource), Local(Local),
-        StateMachine(Seed, Ttl) {}
+        StateMachine(Seed, Ttl), Random(Seed) {}
 
   /// Blocks until Stop is requested and the member is withdrawn or
   /// WithdrawTimeout has passed, or until a newer run has replaced this one.
@@ -61,6 +66,7 @@
 
   /// Makes the next call to the store, if one is due, and returns the step.
   LeaseStep step() {
+    this->detectRestore();
     LeaseStep Step =
         this->StateMachine.next(this->TimeSource.now(), this->Local.get());
     std::visit([this](const auto &NextStep) { this->perform(NextStep); }, Step);
@@ -93,11 +99,28 @@
   }
 
 private:
+  // The lease is void once the store has begun another era than that in which
+  // it was granted.
+  void detectRestore() {
+    bool IsRestored = this->StateMachine.hasLease() &&
+                      this->StoreClient.era() != this->LeaseEra;
+    if (IsRestored) {
+      std::uniform_int_distribution<int64_t> Delay(0, RestoreSpread.count());
+      this->StateMachine.onStoreRestored(
+          this->TimeSource.now() +
+          std::chrono::milliseconds(Delay(this->Random)));
+    }
+  }
+
   void perform(const GrantStep &) {
     base::TimePoint SentAt = this->TimeSource.now();
+    store::StoreEra EraBefore = this->StoreClient.era();
     base::Result<store::LeaseId> Lease =
         this->StoreClient.grantLease(this->StateMachine.ttl());
     if (Lease) {
+      // The era is unknown before the first answer. If it changes during a
+      // later call, the lease may be of either era and is granted again.
+      this->LeaseEra = EraBefore != 0 ? EraBefore : this->StoreClient.era();
       this->StateMachine.onGranted(SentAt, Lease.value());
     } else {
       this->StateMachine.onFailed(this->TimeSource.now(), Lease.error());
@@ -159,6 +182,8 @@
   const C &TimeSource;
   const board::LocalMember &Local;
   LeaseStateMachine StateMachine;
+  store::StoreEra LeaseEra = 0;
+  std::mt19937 Random;
   mutable base::RankedMutex Mutex{base::LockRank::Adapter};
   LeaseStatus LastStatus;
 };
--- a/bilberry/members/lease_state_machine.cc
+++ b/bilberry/members/lease_state_machine.cc
@@ -98,6 +98,11 @@
       Now + std::min(this->RetryDelays.next(), maxRetryDelay(this->Ttl));
 }
 
+void LeaseStateMachine::onStoreRestored(base::TimePoint RetryAt) {
+  this->dropLease();
+  this->RetryAt = RetryAt;
+}
+
 // The store deletes the announcement together with the lease.
 void LeaseStateMachine::dropLease() {
   ++this->Status.Lapses;
--- a/bilberry/members/lease_state_machine.h
+++ b/bilberry/members/lease_state_machine.h
@@ -121,6 +121,10 @@
   void onRevoked() { this->IsWithdrawn = true; }
   /// The call to the store failed.
   void onFailed(base::TimePoint Now, const base::Error &Cause);
+  /// The store was restored from an older copy, without leases. The lease's id
+  /// may belong to another process now. Nothing is called before RetryAt, so
+  /// that not all processes announce themselves at the same moment.
+  void onStoreRestored(base::TimePoint RetryAt);
 
   /// Starts the withdrawal: the next steps announce Leaving, so that others
   /// know that the stop is planned, and then revoke the lease.
@@ -128,6 +132,8 @@
 
   /// The status of the lease. No preconditions.
   const LeaseStatus &status() const { return this->Status; }
+  /// True if a lease has been granted and not been found to be lost.
+  bool hasLease() const { return this->Lease != 0; }
 
 private:
   void extendLease(base::TimePoint SentAt);
--- a/bilberry/members/member_tracker.cc
+++ b/bilberry/members/member_tracker.cc
@@ -21,7 +21,12 @@
 
 void MemberTracker::applyListing(base::TimePoint Now,
                                  const store::Listing &List) {
-  if (this->IsDown) {
+  if (List.Era < this->ListedEra) {
+    return;
+  }
+  bool IsRestored = List.Era > this->ListedEra && this->ListedRevision != 0;
+  this->ListedEra = List.Era;
+  if (this->IsDown || IsRestored) {
     this->IsDown = false;
     this->RecoveryEndsAt = Now + LeaseTtl;
     // The time of the outage doesn't count towards the deadlines of absent
@@ -46,6 +51,9 @@
 void MemberTracker::applyEvent(base::TimePoint Now,
                                const store::WatchEvent &Event) {
   const store::KeyValue &Entry = Event.Entry;
+  if (Event.Era != this->ListedEra) {
+    return;
+  }
   store::StoreRevision &Last = this->LastRevisions[Entry.Key];
   if (Entry.Changed <= this->ListedRevision || Entry.Changed <= Last) {
     return;
--- a/bilberry/members/member_tracker.h
+++ b/bilberry/members/member_tracker.h
@@ -5,7 +5,9 @@
 // otherwise it marks the member as silent. While the store is down, the table
 // doesn't change. After the store has recovered, and for members that a listing
 // lacks, one full lease duration passes before they count as silent, so that
-// members whose lease ended during the outage can announce themselves again.
+// members whose lease ended during the outage can announce themselves again. A
+// restore of the store from an older copy, which has no leases, counts as an
+// outage.
 
 #ifndef BILBERRY_MEMBERS_MEMBER_TRACKER_H
 #define BILBERRY_MEMBERS_MEMBER_TRACKER_H
@@ -26,6 +28,7 @@
   explicit MemberTracker(MemberTable &Table) : Table(Table) {}
 
   /// Applies all announcements, read at one store revision. Ends an outage.
+  /// Ignores a listing of an older era.
   void applyListing(base::TimePoint Now, const store::Listing &List);
   /// Applies one change. A change that isn't newer than the last listing or
   /// the last change of the same key is ignored.
@@ -49,6 +52,7 @@
   MemberTable &Table;
   bool IsDown = true; // Nothing is known before the first listing.
   base::TimePoint RecoveryEndsAt;
+  store::StoreEra ListedEra = 0;
   store::StoreRevision ListedRevision = 0;
   std::map<std::string, store::StoreRevision> LastRevisions;
   // Members that the store lacks, and the time when they become silent.
--- a/bilberry/node/packet_node.h
+++ b/bilberry/node/packet_node.h
@@ -134,6 +134,7 @@
     while (!StopAt || (this->now() < *StopAt && !MayExit())) {
       boost::this_fiber::sleep_for(TickInterval);
       base::TimePoint Now = this->now();
+      this->Watcher.tick(Now);
       this->catchUp(Now, OnTick(Now));
       auto Signal = runtime::waitForSignal(std::chrono::milliseconds(0));
       if (Signal == runtime::StopSignal::Restart) {
@@ -181,6 +182,12 @@
                  "Watches of the operators' documents that broke or went "
                  "silent",
                  this->Watcher.brokenWatches());
+    Page.gauge("bilberry_store_era",
+               "Era of the store, which rises when it is restored from a copy",
+               static_cast<double>(this->StateCache.era()));
+    Page.counter("bilberry_store_restores_total",
+                 "Restores of the store that this process has noticed",
+                 this->StateCache.restores());
     Page.counter("bilberry_datagrams_refused_total",
                  "Datagrams that the kernel failed to send",
                  this->RefusedDatagrams);
@@ -239,13 +246,14 @@
   // reported newer documents than the local ones.
   void catchUp(base::TimePoint Now,
                const wire::DocumentsVersion &PeerDocuments) {
-    bool IsBehind = this->StateCache.lacksRevision(PeerDocuments.Changed);
+    bool IsBehind = this->StateCache.lacks(PeerDocuments);
     switch (this->DocumentCatchUp.next(Now, IsBehind)) {
     case targets::CatchUpAction::Nothing:
       break;
     case targets::CatchUpAction::ReadStore:
       log::info("event=documents-behind heard=" +
-                std::to_string(PeerDocuments.Changed) + " action=read-store");
+                std::to_string(PeerDocuments.Changed) + " era=" +
+                std::to_string(PeerDocuments.Era) + " action=read-store");
       this->Watcher.reread();
       break;
     case targets::CatchUpAction::AskPeer:
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -420,7 +420,7 @@
 // Of several processes with the newest version, the one heard last is the most
 // likely to be running when the documents are fetched.
 void PacketRouter::recordNews(const wire::DocumentsVersion &Version) {
-  if (Version.Changed >= this->NewsHeard.Changed) {
+  if (!wire::isNewer(this->NewsHeard, Version)) {
     this->NewsHeard = Version;
   }
 }
@@ -485,8 +485,8 @@
   // Agents of this data centre that rely on this balancer get a new version of
   // the documents at once.
   bool HasNews =
-      IsStoreCurrent && this->Operators->Changed > this->AnnouncedDocuments;
-  this->AnnouncedDocuments = this->Operators->Changed;
+      IsStoreCurrent && wire::isNewer(Documents, this->AnnouncedDocuments);
+  this->AnnouncedDocuments = Documents;
   // By whether the agent is asked for a status.
   std::array<std::vector<base::Address>, 2> Receivers;
   for (size_t I = 0; I < this->Agents.size(); ++I) {
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -186,7 +186,7 @@
   void sendHellos(base::TimePoint Now, bool IsStoreCurrent,
                   packet::PacketActions &Out);
   wire::DocumentsVersion documentsVersion() const {
-    return {this->Operators->Changed, this->Self.Pages};
+    return {this->Operators->Changed, this->Self.Pages, this->Operators->Era};
   }
   void recordNews(const wire::DocumentsVersion &Version);
   void sendRecalledFlows(const base::Address &To, members::AgentIndex Index,
@@ -215,7 +215,7 @@
   base::TimePoint NextExpiry;
   wire::DocumentsVersion NewsHeard;
   // The version of the documents in the last hellos.
-  store::StoreRevision AnnouncedDocuments = 0;
+  wire::DocumentsVersion AnnouncedDocuments;
   PacketRouterCounts Counts;
 };
 
--- a/bilberry/routing/peer_balancers.cc
+++ b/bilberry/routing/peer_balancers.cc
@@ -96,7 +96,7 @@
 void PeerBalancers::onTick(base::TimePoint Now, bool IsStoreCurrent,
                            const wire::DocumentsVersion &Documents,
                            packet::PacketActions &Out) {
-  bool HasNews = IsStoreCurrent && Documents.Changed > this->Documents.Changed;
+  bool HasNews = IsStoreCurrent && wire::isNewer(Documents, this->Documents);
   this->IsStoreCurrent = IsStoreCurrent;
   this->Documents = Documents;
   if (Now < this->NextPass && !HasNews) {
--- a/bilberry/store/etcd_store.cc
+++ b/bilberry/store/etcd_store.cc
@@ -300,8 +300,7 @@
   return Request;
 }
 
-base::Result<void> EtcdStore::watch(std::string_view Prefix,
-                                    StoreRevision After,
+base::Result<void> EtcdStore::watch(std::string_view Prefix, WatchStart Start,
                                     const WatchCallback &OnEvent,
                                     std::stop_token Stop,
                                     base::Duration SilenceLimit) {
@@ -309,7 +308,7 @@
   httplib::Client Client =
       httpClient(this->Server, this->CallTimeout, SilenceLimit);
   WatchReader Reader(OnEvent);
-  httplib::Request Request = watchRequest(Prefix, After);
+  httplib::Request Request = watchRequest(Prefix, Start.After);
   Request.response_handler = [&](const httplib::Response &Response) {
     return Response.status == StatusOk && !Stop.stop_requested();
   };
--- a/bilberry/store/etcd_store.h
+++ b/bilberry/store/etcd_store.h
@@ -52,10 +52,13 @@
   /// the watch breaks, gets neither an event nor a progress notification for
   /// SilenceLimit, or asks for changes that the store no longer has. If a store
   /// sends no notifications, each idle watch fails.
-  base::Result<void> watch(std::string_view Prefix, StoreRevision After,
+  base::Result<void> watch(std::string_view Prefix, WatchStart Start,
                            const WatchCallback &OnEvent, std::stop_token Stop,
                            base::Duration SilenceLimit = DefaultSilenceLimit);
 
+  /// etcd names no era: a cluster that is restored gets a new cluster id, and
+  /// its clients are set up anew.
+  static StoreEra era() { return 0; }
   /// The number of calls made so far.
   const StoreCallCounts &counts() const { return this->Counts; }
 
--- a/bilberry/store/prefix_watcher.h
+++ b/bilberry/store/prefix_watcher.h
@@ -108,8 +108,8 @@
         continue;
       }
       HandleListing(List.value());
-      base::Result<void> Watched =
-          this->watchOnce(Stop, List.value().AtRevision, HandleEvent);
+      base::Result<void> Watched = this->watchOnce(
+          Stop, {List.value().AtRevision, List.value().Era}, HandleEvent);
       if (!Watched) {
         HandleBrokenWatch(Watched.error());
         waitFor(this->Delays.next(), Stop);
@@ -134,7 +134,7 @@
 
 private:
   // Watches for one re-read interval. Returns an error if the watch broke.
-  base::Result<void> watchOnce(const std::stop_token &Stop, StoreRevision After,
+  base::Result<void> watchOnce(const std::stop_token &Stop, WatchStart Start,
                                const WatchCallback &HandleEvent) {
     auto StartedAt = std::chrono::steady_clock::now();
     std::stop_source WatchStop;
@@ -147,7 +147,7 @@
       WatchStop.request_stop();
     });
     base::Result<void> Watched = this->Source.watch(
-        this->Prefix, After, HandleEvent, WatchStop.get_token(), Limit);
+        this->Prefix, Start, HandleEvent, WatchStop.get_token(), Limit);
     this->setActiveWatch(nullptr);
     if (Watched || std::chrono::steady_clock::now() - StartedAt > MaxBackoff) {
       this->Delays.reset();
--- a/bilberry/store/store.h
+++ b/bilberry/store/store.h
@@ -24,6 +24,9 @@
 using LeaseId = int64_t;
 /// The store's change counter; 0 means "key absent" in a comparison.
 using StoreRevision = int64_t;
+/// Counts how often the store was restored from an older copy. Revisions and
+/// lease ids are assigned again in each era.
+using StoreEra = uint64_t;
 
 struct KeyValue {
   std::string Key;
@@ -37,6 +40,7 @@
 struct Listing {
   std::vector<KeyValue> Entries;
   StoreRevision AtRevision = 0;
+  StoreEra Era = 0;
 };
 
 /// The result of a compare-and-swap.
@@ -53,6 +57,13 @@
 struct WatchEvent {
   bool IsDelete = false;
   KeyValue Entry;
+  StoreEra Era = 0;
+};
+/// The listing that a watch continues: the watch reports the changes after this
+/// revision.
+struct WatchStart {
+  StoreRevision After = 0;
+  StoreEra Era = 0;
 };
 /// Called from the watching thread, in the order of the changes.
 using WatchCallback = std::function<void(const WatchEvent &)>;
@@ -68,7 +79,8 @@
 concept Store = requires(T &S, std::string_view Key, std::string_view Value,
                          StoreRevision Expected, LeaseId Lease,
                          base::Duration Ttl, base::Duration SilenceLimit,
-                         const WatchCallback &OnEvent, std::stop_token Stop) {
+                         const WatchCallback &OnEvent, std::stop_token Stop,
+                         WatchStart Start) {
   // Returns the entry of a key, if any.
   { S.get(Key) } -> std::same_as<base::Result<std::optional<KeyValue>>>;
   // Returns all entries whose key starts with Key.
@@ -85,13 +97,15 @@
   { S.grantLease(Ttl) } -> std::same_as<base::Result<LeaseId>>;
   { S.keepAlive(Lease) } -> std::same_as<base::Result<void>>;
   { S.revokeLease(Lease) } -> std::same_as<base::Result<void>>;
-  // Reports changes under the prefix Key after store revision Expected, until
-  // Stop is requested or the watch breaks. An open connection may go silent
-  // without an error, so a watch that has received nothing for SilenceLimit
-  // fails.
+  // Reports changes under the prefix Key after the listing Start, until Stop is
+  // requested or the watch breaks. An open connection may go silent without an
+  // error, so a watch that has received nothing for SilenceLimit fails. It also
+  // fails if the store is in another era than the listing.
   {
-    S.watch(Key, Expected, OnEvent, Stop, SilenceLimit)
+    S.watch(Key, Start, OnEvent, Stop, SilenceLimit)
     } -> std::same_as<base::Result<void>>;
+  // The newest era that an answer has named; 0 if none has.
+  { S.era() } -> std::same_as<StoreEra>;
 };
 
 } // namespace bilberry::store
--- a/bilberry/targets/operator_state_cache.cc
+++ b/bilberry/targets/operator_state_cache.cc
@@ -14,10 +14,17 @@
 OperatorStateCache::applyListing(const store::Listing &List) {
   std::lock_guard Lock(this->Mutex);
   std::vector<std::string> LogLines;
-  if (List.AtRevision < this->LatestRevision) {
+  bool IsNewEra = List.Era > this->LatestEra;
+  bool IsOlder =
+      List.Era < this->LatestEra ||
+      (List.Era == this->LatestEra && List.AtRevision < this->LatestRevision);
+  if (IsOlder) {
     return LogLines;
   }
-  store::StoreRevision Newest = this->State->Changed;
+  if (IsNewEra) {
+    this->beginEra(List, LogLines);
+  }
+  store::StoreRevision Newest = IsNewEra ? 0 : this->State->Changed;
   std::map<std::string, store::KeyValue> Listed;
   for (const store::KeyValue &Entry : List.Entries) {
     Newest = std::max(Newest, Entry.Changed);
@@ -29,7 +36,7 @@
   // A listing doesn't contain the revision of a deletion. The listing's own
   // revision is used instead, which is not older than the deletion.
   store::StoreRevision Changed = HasDeletion ? List.AtRevision : Newest;
-  bool IsNew = HasDeletion || Changed > this->State->Changed ||
+  bool IsNew = IsNewEra || HasDeletion || Changed > this->State->Changed ||
                this->State->Changed == 0;
   this->LatestRevision = List.AtRevision;
   if (!IsNew) {
@@ -38,11 +45,58 @@
   this->Documents = std::move(Listed);
   auto Next = std::make_shared<OperatorState>(*this->State);
   Next->Changed = Changed;
+  Next->Era = List.Era;
   this->State = std::move(Next);
   this->rebuild(LogLines);
   return LogLines;
 }
 
+// Forgets the revisions of the era before, which the store assigns again. The
+// first listing of a process begins an era too, but isn't a restore.
+void OperatorStateCache::beginEra(const store::Listing &List,
+                                  std::vector<std::string> &LogLines) {
+  bool IsRestore = this->LatestRevision != 0;
+  this->LatestEra = List.Era;
+  this->LatestRevision = 0;
+  this->RoutesRevision = 0;
+  if (!IsRestore) {
+    return;
+  }
+  ++this->Restores;
+  LogLines.push_back("event=store-restored era=" + std::to_string(List.Era) +
+                     " revision=" + std::to_string(List.AtRevision));
+  std::set<base::DataCentreName> Listed;
+  for (const store::KeyValue &Entry : List.Entries) {
+    DocumentKind Kind = this->Format.Classify(Entry.Key);
+    if (const auto *Evacuation = std::get_if<EvacuationDocument>(&Kind)) {
+      Listed.insert(Evacuation->DataCentre);
+    }
+  }
+  for (const base::DataCentreName &Name : this->State->Evacuated) {
+    if (!Listed.contains(Name)) {
+      this->UnconfirmedEvacuations.try_emplace(Name);
+    }
+  }
+}
+
+std::vector<std::string> OperatorStateCache::tick(base::TimePoint Now) {
+  std::lock_guard Lock(this->Mutex);
+  std::vector<std::string> LogLines;
+  for (auto &[Name, EndsAt] : this->UnconfirmedEvacuations) {
+    if (!EndsAt) {
+      EndsAt = Now + RestoredEvacuationGrace;
+    }
+  }
+  size_t Ended =
+      std::erase_if(this->UnconfirmedEvacuations, [&](const auto &Evacuation) {
+        return Now >= *Evacuation.second;
+      });
+  if (Ended > 0) {
+    this->rebuild(LogLines);
+  }
+  return LogLines;
+}
+
 // One transaction can change several keys at one revision, so the revision
 // alone doesn't show whether an event has been applied.
 bool OperatorStateCache::isAlreadyApplied(
@@ -61,9 +115,14 @@
 OperatorStateCache::applyEvent(const store::WatchEvent &Event) {
   std::lock_guard Lock(this->Mutex);
   std::vector<std::string> LogLines;
-  if (this->isAlreadyApplied(Event)) {
+  // Events of another era come from a watch that has yet to be restarted.
+  if (Event.Era != this->LatestEra || this->isAlreadyApplied(Event)) {
     return LogLines;
   }
+  DocumentKind Kind = this->Format.Classify(Event.Entry.Key);
+  if (const auto *Evacuation = std::get_if<EvacuationDocument>(&Kind)) {
+    this->UnconfirmedEvacuations.erase(Evacuation->DataCentre);
+  }
   this->LatestRevision = Event.Entry.Changed;
   if (Event.IsDelete) {
     this->Documents.erase(Event.Entry.Key);
@@ -82,6 +141,10 @@
   auto Next = std::make_shared<OperatorState>();
   Next->Routes = this->State->Routes;
   Next->Changed = this->State->Changed;
+  Next->Era = this->State->Era;
+  for (const auto &[Name, EndsAt] : this->UnconfirmedEvacuations) {
+    Next->Evacuated.insert(Name);
+  }
   for (const auto &[Key, Entry] : this->Documents) {
     DocumentKind Kind = this->Format.Classify(Key);
     if (std::holds_alternative<RoutesDocument>(Kind)) {
@@ -145,15 +208,26 @@
   return this->State;
 }
 
-bool OperatorStateCache::lacksRevision(store::StoreRevision Changed) const {
+bool OperatorStateCache::lacks(const wire::DocumentsVersion &Announced) const {
   std::lock_guard Lock(this->Mutex);
-  return Changed > this->LatestRevision;
+  return wire::isNewer(Announced, {this->LatestRevision, {}, this->LatestEra});
+}
+
+store::StoreEra OperatorStateCache::era() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->LatestEra;
+}
+
+uint64_t OperatorStateCache::restores() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->Restores;
 }
 
 store::Listing OperatorStateCache::documents() const {
   std::lock_guard Lock(this->Mutex);
   store::Listing List;
   List.AtRevision = this->LatestRevision;
+  List.Era = this->LatestEra;
   for (const auto &[Key, Entry] : this->Documents) {
     List.Entries.push_back(Entry);
   }
@@ -167,7 +241,9 @@
                        {"value", store::base64Text(Entry.Value)},
                        {"changed", Entry.Changed}});
   }
-  return json({{"at", List.AtRevision}, {"entries", Entries}}).dump();
+  return json(
+             {{"at", List.AtRevision}, {"era", List.Era}, {"entries", Entries}})
+      .dump();
 }
 
 base::Result<store::Listing> parseListingText(std::string_view Text) {
@@ -180,6 +256,10 @@
   }
   store::Listing List;
   List.AtRevision = Document["at"];
+  // Absent in documents of a process that doesn't know eras.
+  if (Document["era"].is_number_unsigned()) {
+    List.Era = Document["era"];
+  }
   for (json &Item : Document["entries"]) {
     if (!Item.is_object() || !Item["key"].is_string() ||
         !Item["value"].is_string() || !Item["changed"].is_number_integer()) {
--- a/bilberry/targets/operator_state_cache.h
+++ b/bilberry/targets/operator_state_cache.h
@@ -3,8 +3,12 @@
 //
 // The documents are read from the store or, while the store is unreachable for
 // this process, from a peer that has newer ones. A copy is replaced only by a
-// newer one: by store revision for the documents as a whole, and by version for
-// the routes.
+// newer one: by store era and revision for the documents as a whole, and by
+// version for the routes.
+//
+// If the store was restored from an older copy, the copy may lack an evacuation
+// that the operators have set since. They write it again, so until then the
+// data centre stays evacuated for a limited time.
 
 #ifndef BILBERRY_TARGETS_OPERATOR_STATE_CACHE_H
 #define BILBERRY_TARGETS_OPERATOR_STATE_CACHE_H
@@ -13,6 +17,7 @@
 #include "bilberry/base/ranked_mutex.h"
 #include "bilberry/store/store.h"
 #include "bilberry/targets/route_table.h"
+#include "bilberry/wire/relay_message.h"
 
 #include <functional>
 #include <map>
@@ -30,8 +35,10 @@
   /// Null until routes have been read.
   std::shared_ptr<const RouteTable> Routes;
   std::set<base::DataCentreName> Evacuated;
-  /// The store revision of the last change that this state includes.
+  /// The store revision of the last change that this state includes, and the
+  /// era in which it was assigned.
   store::StoreRevision Changed = 0;
+  store::StoreEra Era = 0;
 
   bool isEvacuated(const base::DataCentreName &Name) const {
     return this->Evacuated.contains(Name);
@@ -42,6 +49,12 @@
   }
 };
 
+/// How long a data centre stays evacuated whose document a restored store
+/// lacks: an evacuation is to take effect within 5 s of its acknowledgement,
+/// and the operators write it again within that time.
+inline constexpr base::Duration RestoredEvacuationGrace =
+    std::chrono::seconds(5);
+
 /// The kinds of operators' documents, identified by their key.
 struct RoutesDocument {};
 struct EvacuationDocument {
@@ -66,23 +79,31 @@
         State(std::make_shared<const OperatorState>()) {}
 
   /// Applies a listing of all documents at one store revision; ignores it if it
-  /// is older than the current documents. Returns log lines for the changes and
-  /// for documents that are invalid.
+  /// is older than the current documents, by era and then by revision. Returns
+  /// log lines for the changes and for documents that are invalid.
   std::vector<std::string> applyListing(const store::Listing &List);
   /// Applies one change. Returns log lines as above.
   std::vector<std::string> applyEvent(const store::WatchEvent &Event);
+  /// Ends evacuations that a restored store still lacks after
+  /// RestoredEvacuationGrace. Returns log lines as above. Call several times a
+  /// second.
+  std::vector<std::string> tick(base::TimePoint Now);
 
   /// The current state; never null.
   std::shared_ptr<const OperatorState> current() const;
-  /// True if this copy doesn't include the store revision Changed, which a peer
-  /// has announced.
-  bool lacksRevision(store::StoreRevision Changed) const;
+  /// True if this copy doesn't include the version that a peer has announced.
+  bool lacks(const wire::DocumentsVersion &Announced) const;
+  /// The store's era of this copy.
+  store::StoreEra era() const;
+  /// The number of restores of the store that were noticed.
+  uint64_t restores() const;
   /// All documents as received, for a peer that can't read the store.
   store::Listing documents() const;
 
 private:
   // Precondition of these functions: Mutex is held.
   bool isAlreadyApplied(const store::WatchEvent &Event) const;
+  void beginEra(const store::Listing &List, std::vector<std::string> &LogLines);
   void rebuild(std::vector<std::string> &LogLines);
   void applyRoutes(const store::KeyValue &Entry, OperatorState &Next,
                    std::vector<std::string> &LogLines) const;
@@ -90,7 +111,13 @@
   DocumentFormat Format;
   mutable base::RankedMutex Mutex{base::LockRank::Targets};
   std::map<std::string, store::KeyValue> Documents;
+  store::StoreEra LatestEra = 0;
   store::StoreRevision LatestRevision = 0;
+  uint64_t Restores = 0;
+  // Evacuations that the restored store lacks, and when they end; empty until
+  // the next tick.
+  std::map<base::DataCentreName, std::optional<base::TimePoint>>
+      UnconfirmedEvacuations;
   store::StoreRevision RoutesRevision = 0;
   std::shared_ptr<const OperatorState> State;
 };
--- a/bilberry/targets/operator_watcher.h
+++ b/bilberry/targets/operator_watcher.h
@@ -146,6 +146,8 @@
         });
   }
 
+  /// Applies the timeouts of the documents. Call several times a second.
+  void tick(base::TimePoint Now) { this->logLines(this->StateCache.tick(Now)); }
   /// Reads the documents from the store again.
   void reread() { this->Documents.reread(); }
   /// Applies documents sent by a peer, if they are newer.
--- a/bilberry/testing/announcer_test.cc
+++ b/bilberry/testing/announcer_test.cc
@@ -5,7 +5,9 @@
 #include "bilberry/testing/fake_store.h"
 #include "bilberry/testing/odd_entries.h"
 
+#include <deque>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace bilberry::members {
 namespace {
@@ -293,6 +295,45 @@
   EXPECT_EQ(this->stored().Run, 8U);
 }
 
+// The store comes back from a copy of before the announcement, and gives the
+// id of the lease to another process. Guards against a process that stays
+// unannounced, or renews and revokes the other's lease.
+TEST_F(AnnouncerTest, AnnouncesAgainAfterARestoreOfTheStore) {
+  this->Store.saveCopy();
+  runUntilIdle(this->Process);
+  this->Store.restoreCopy();
+  ASSERT_TRUE(this->Store.grantLease(LeaseTtl));
+  ASSERT_TRUE(this->Store.put("/other", "x", 1));
+  runUntilIdle(this->Process);
+  this->advanceAndRun(RestoreSpread);
+  EXPECT_EQ(this->stored(), agent());
+  EXPECT_NE(this->entry()->Lease, 1);
+  EXPECT_EQ(this->Process.status().Lapses, 1U);
+  this->Process.withdraw();
+  EXPECT_TRUE(this->Store.get("/other").value());
+}
+
+// Guards against all processes writing at the same moment.
+TEST_F(AnnouncerTest, AnnouncementsAfterARestoreAreSpread) {
+  constexpr uint32_t ProcessCount = 20;
+  std::deque<TestAnnouncer> Processes;
+  for (uint32_t I = 0; I < ProcessCount; ++I) {
+    Processes.emplace_back(this->Store, this->Clock, this->Local, I);
+    runUntilIdle(Processes.back());
+  }
+  this->Store.saveCopy();
+  this->Store.restoreCopy();
+  std::set<base::TimePoint> Times;
+  for (TestAnnouncer &Process : Processes) {
+    LeaseStep Step = Process.step();
+    ASSERT_TRUE(std::holds_alternative<WaitStep>(Step));
+    base::TimePoint Until = std::get<WaitStep>(Step).Until;
+    EXPECT_LE(Until, this->Clock.now() + RestoreSpread);
+    Times.insert(Until);
+  }
+  EXPECT_GT(Times.size(), ProcessCount / 2);
+}
+
 // Another writer has left an odd entry under the member's key.
 TEST_F(AnnouncerTest, ReplacesOddEntries) {
   for (const testing::OddEntry &Odd : testing::oddEntries(agent())) {
@@ -321,7 +362,7 @@
     }
   };
   ASSERT_TRUE(
-      this->Store.watch(store::MembersPrefix, 1, Record, Stop.get_token()));
+      this->Store.watch(store::MembersPrefix, {1}, Record, Stop.get_token()));
   EXPECT_EQ(Seen, (std::vector<std::string>{"cold", "leaving", "delete"}));
 }
 
--- a/bilberry/testing/etcd_store_test.cc
+++ b/bilberry/testing/etcd_store_test.cc
@@ -126,7 +126,7 @@
     FixedAnswerServer Server(200, Item.Text);
     EtcdStore Store(Server.address(), CallTimeout);
     testing::WatchLog Log;
-    EXPECT_EQ(Store.watch("/", 0, Log.callback(), {}).error().Code,
+    EXPECT_EQ(Store.watch("/", {0}, Log.callback(), {}).error().Code,
               ErrorCode::Unavailable)
         << Item.Text;
     EXPECT_EQ(Log.lines().size(), Item.Events) << Item.Text;
--- a/bilberry/testing/fake_store.cc
+++ b/bilberry/testing/fake_store.cc
@@ -52,7 +52,9 @@
 
 base::Result<store::Listing> FakeStore::list(std::string_view Prefix) {
   return this->call<store::Listing>(StoreCall::List, false, [&] {
-    return this->State.list(standin::prefixRange(Prefix));
+    store::Listing List = this->State.list(standin::prefixRange(Prefix));
+    List.Era = this->Era;
+    return List;
   });
 }
 
@@ -102,18 +104,21 @@
 }
 
 base::Result<std::vector<store::WatchEvent>>
-FakeStore::pollChanges(const standin::KeyRange &Range,
-                       store::StoreRevision After, uint64_t InitialSilenceCount,
+FakeStore::pollChanges(const standin::KeyRange &Range, store::WatchStart Start,
+                       uint64_t InitialSilenceCount,
                        base::Duration SilenceLimit,
                        base::TimePoint &LastProgress) {
   base::TimePoint Now = this->Clock.now();
+  if (Start.Era != this->Era) {
+    return unavailable("fake store: restored");
+  }
   this->State.expireLeases(Now);
   if (this->Faults.get().Mode == Availability::Refusing) {
     return unavailable("fake store: watch broke");
   }
   if (!this->Faults.isSilent(InitialSilenceCount)) {
     LastProgress = Now;
-    return this->State.changesAfter(After, Range);
+    return this->State.changesAfter(Start.After, Range);
   }
   if (Now - LastProgress >= SilenceLimit) {
     return unavailable("fake store: watch went silent");
@@ -122,7 +127,7 @@
 }
 
 base::Result<void> FakeStore::watch(std::string_view Prefix,
-                                    store::StoreRevision After,
+                                    store::WatchStart Start,
                                     const store::WatchCallback &OnEvent,
                                     const std::stop_token &Stop,
                                     base::Duration SilenceLimit) {
@@ -132,7 +137,7 @@
   base::TimePoint LastProgress = this->Clock.now();
   base::Result<std::vector<store::WatchEvent>> Changes = success();
   auto HasChangesOrError = [&] {
-    Changes = this->pollChanges(Range, After, InitialSilenceCount, SilenceLimit,
+    Changes = this->pollChanges(Range, Start, InitialSilenceCount, SilenceLimit,
                                 LastProgress);
     return !Changes || !Changes.value().empty();
   };
@@ -148,8 +153,8 @@
     // Called without the lock, which ranks above the mutexes that the callbacks
     // lock.
     for (const store::WatchEvent &Change : Changes.value()) {
-      OnEvent(Change);
-      After = Change.Entry.Changed;
+      OnEvent({Change.IsDelete, Change.Entry, Start.Era});
+      Start.After = Change.Entry.Changed;
     }
   }
   return success();
@@ -184,6 +189,27 @@
   this->Changed.notify_all();
 }
 
+store::StoreEra FakeStore::era() {
+  Lock Guard(this->Mutex);
+  return this->Era;
+}
+
+void FakeStore::saveCopy() {
+  Lock Guard(this->Mutex);
+  this->Copy = this->State;
+}
+
+void FakeStore::restoreCopy() {
+  {
+    Lock Guard(this->Mutex);
+    this->State = this->Copy;
+    // Leases aren't part of a copy.
+    this->State.revokeAllLeases();
+    ++this->Era;
+  }
+  this->Changed.notify_all();
+}
+
 void FakeStore::notifyWatches() {
   // Locked so that no watch misses the notification between its check and its
   // wait.
--- a/bilberry/testing/fake_store.h
+++ b/bilberry/testing/fake_store.h
@@ -39,16 +39,22 @@
   base::Result<void> keepAlive(store::LeaseId Lease);
   base::Result<void> revokeLease(store::LeaseId Lease);
   base::Result<void>
-  watch(std::string_view Prefix, store::StoreRevision After,
+  watch(std::string_view Prefix, store::WatchStart Start,
         const store::WatchCallback &OnEvent, const std::stop_token &Stop,
         base::Duration SilenceLimit = store::DefaultSilenceLimit);
 
+  store::StoreEra era();
+
   /// Replaces the injected faults.
   void setFaults(const standin::StoreFaults &Value);
   /// Ends a lease as if it had expired. Unknown leases are ignored.
   void expireLease(store::LeaseId Lease);
   /// Ends all leases as if they had expired.
   void expireAllLeases();
+  /// Saves a copy of the contents, and replaces the contents by that copy. The
+  /// latter begins a new era and makes the waiting watches fail.
+  void saveCopy();
+  void restoreCopy();
   /// Makes the watches check the clock. Call after advancing it.
   void notifyWatches();
   /// The number of calls made so far.
@@ -63,7 +69,7 @@
                        const std::function<base::Result<T>()> &Body);
   // Returns the changes after After, or the error that ends the watch.
   base::Result<std::vector<store::WatchEvent>>
-  pollChanges(const standin::KeyRange &Range, store::StoreRevision After,
+  pollChanges(const standin::KeyRange &Range, store::WatchStart Start,
               uint64_t InitialSilenceCount, base::Duration SilenceLimit,
               base::TimePoint &LastProgress);
   uint64_t watchSilenceCount();
@@ -72,6 +78,8 @@
   base::RankedMutex Mutex{base::LockRank::Adapter};
   std::condition_variable_any Changed;
   standin::KeyValueState State;
+  standin::KeyValueState Copy;
+  store::StoreEra Era = 0;
   standin::StoreFaultState Faults;
   store::StoreCallCounts Counts;
 };
--- a/bilberry/testing/member_tracker_test.cc
+++ b/bilberry/testing/member_tracker_test.cc
@@ -340,5 +340,22 @@
   }
 }
 
+// The copy from which the store was restored is older than the announcement.
+// Guards against placing nothing on an agent that is about to announce itself
+// again, and against late input of the era before.
+TEST(MemberTracker, RestoreOfTheStoreCountsAsAnOutage) {
+  TrackerDriver Driver;
+  Driver.finishRecovery();
+  Driver.advanceTime(LeaseTtl);
+  Driver.Tracker.applyListing(Driver.Now, {{}, 5, 1});
+  Driver.advanceTime(LeaseTtl - SmallestDuration);
+  EXPECT_EQ(Driver.placementState(), "placed");
+  // Still of era 0.
+  Driver.deleteMember();
+  EXPECT_EQ(Driver.placementState(), "placed");
+  Driver.advanceTime(2 * SmallestDuration);
+  EXPECT_EQ(Driver.placementState(), "silent");
+}
+
 } // namespace
 } // namespace bilberry::members
--- a/bilberry/testing/store_contract_test.cc
+++ b/bilberry/testing/store_contract_test.cc
@@ -192,7 +192,7 @@
   std::stop_source Stop;
   std::optional<base::Result<void>> Ended;
   std::jthread Watcher([&] {
-    Ended = this->Store.watch("/a/", After, Log.callback(), Stop.get_token());
+    Ended = this->Store.watch("/a/", {After}, Log.callback(), Stop.get_token());
   });
   ASSERT_TRUE(Log.waitForCount(1));
   ASSERT_TRUE(this->Store.put("/a/2", "y", Lease.value()));
@@ -230,7 +230,7 @@
   std::stop_source Stop;
   std::jthread Watcher([&] {
     EXPECT_TRUE(
-        this->Store.watch("/a/", After, Log.callback(), Stop.get_token()));
+        this->Store.watch("/a/", {After}, Log.callback(), Stop.get_token()));
   });
   EXPECT_TRUE(Log.waitForCount(Count + 1));
   Stop.request_stop();
@@ -240,7 +240,7 @@
   std::stop_source Stop;
   Stop.request_stop();
   WatchLog Log;
-  EXPECT_TRUE(this->Store.watch("/", 0, Log.callback(), Stop.get_token()));
+  EXPECT_TRUE(this->Store.watch("/", {0}, Log.callback(), Stop.get_token()));
 }
 
 TYPED_TEST(StoreContract, BrokenWatchReturnsAnError) {
@@ -254,7 +254,7 @@
     WatchLog Log;
     std::optional<base::Result<void>> Ended;
     std::jthread Watcher([&] {
-      Ended = this->Store.watch("/", After, Log.callback(), {}, Silence);
+      Ended = this->Store.watch("/", {After}, Log.callback(), {}, Silence);
     });
     ASSERT_TRUE(this->Store.put("/a", "x", 0));
     ASSERT_TRUE(Log.waitForCount(1));
--- a/bilberry/testing/target_changer_test.cc
+++ b/bilberry/testing/target_changer_test.cc
@@ -139,7 +139,8 @@
   }
   Result<void> keepAlive(LeaseId /*Lease*/) { return this->notImplemented(); }
   Result<void> revokeLease(LeaseId /*Lease*/) { return this->notImplemented(); }
-  Result<void> watch(std::string_view /*Key*/, StoreRevision /*After*/,
+  static store::StoreEra era() { return 0; }
+  Result<void> watch(std::string_view /*Key*/, store::WatchStart /*After*/,
                      const store::WatchCallback & /*OnEvent*/,
                      const std::stop_token & /*Stop*/,
                      base::Duration /*SilenceLimit*/) {
--- a/bilberry/wire/relay_message.h
+++ b/bilberry/wire/relay_message.h
@@ -28,10 +28,18 @@
   int64_t Changed = 0;
   /// Address of the HTTP server from which the sender's copy can be fetched.
   base::Address Pages;
+  /// The store's era in which Changed was assigned; 0 if unknown.
+  uint64_t Era = 0;
 
-  MSGPACK_DEFINE(Changed, Pages); // NOLINT
+  MSGPACK_DEFINE(Changed, Pages, Era); // NOLINT
 };
 
+/// True if A is a later version than B. Revisions of different eras can't be
+/// compared, so the era decides first.
+inline bool isNewer(const DocumentsVersion &A, const DocumentsVersion &B) {
+  return A.Era != B.Era ? A.Era > B.Era : A.Changed > B.Changed;
+}
+
 /// Balancer to agent: the balancer is running. The agent answers the first one
 /// of a run with an AgentStatus, and later ones if AsksForStatus is set. Run is
 /// the balancer's incarnation, as in the other messages the sender's.
