--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -14,6 +14,8 @@
 
 #include "bilberry/admission/new_flow_admission.h"
 #include "bilberry/agent/status_receivers.h"
+#include "bilberry/admission/overload_options.h"
+#include "bilberry/admission/service_time_meter.h"
 #include "bilberry/members/upstream_record.h"
 #include "bilberry/packet/packet_actions.h"
 #include "bilberry/routing/held_flows.h"
@@ -66,6 +68,8 @@
   base::Address Upstream;
 };
 
+  bool DampsFlapping = false;
+  admission::OverloadOptions Overload = {};
 /// Event counters since the start, for the metrics page.
 struct PacketAgentCounts {
   uint64_t Opened = 0;
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -49,7 +49,8 @@
       : Settings(Settings), Source(Source),
         Node(Settings, Source, std::move(Documents), /*IsFollower=*/false),
         Agent({Settings.Name, Node.run(), Settings.DataCentre, Settings.Callers,
-               Settings.httpAddress(), Settings.Service, Settings.Upstream},
+               Settings.httpAddress(), Settings.Service, Settings.Upstream,
+               Settings.DampsFlapping, Settings.Overload},
               Settings.Cold, Node.now(), Node.stateCache()),
         Self(members::Member{
             Settings.Name, Node.run(), members::MemberRole::Agent,
--- a/bilberry/balancer/packet_balancer.h
+++ b/bilberry/balancer/packet_balancer.h
@@ -43,7 +43,7 @@
         Node(Settings, Source, std::move(Documents), /*IsFollower=*/true),
         Router({Settings.Name, Node.run(), Settings.DataCentre,
                 Settings.httpAddress(), Settings.messageAddress(),
-                Settings.MaxFlows},
+                Settings.MaxFlows, Settings.Placement, Settings.Overload},
                Node.now(), Node.stateCache()),
         Watcher(Source, Node.clock(), Members, MembersRereadInterval,
                 targets::MaxStoreRetryDelay, MembersSilenceLimit) {}
--- a/bilberry/packet/packet.cc
+++ b/bilberry/packet/packet.cc
@@ -28,6 +28,8 @@
     return "wrong-service";
   case HopTag::Shed:
     return "shed";
+  case HopTag::Reserved:
+    return "reserved";
   }
   return "unknown";
 }
--- a/bilberry/packet/packet.h
+++ b/bilberry/packet/packet.h
@@ -76,6 +76,9 @@
   WrongService = 22,
   /// The upstream refused the flow itself.
   Shed = 23,
+  /// The upstream's remaining capacity is reserved for routes with a higher
+  /// priority.
+  Reserved = 24,
 };
 
 /// Returns the log name of the tag. Never fails.
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -13,10 +13,13 @@
 #define BILBERRY_ROUTING_PACKET_ROUTER_H
 
 #include "bilberry/admission/new_flow_queue.h"
+#include "bilberry/admission/overload_options.h"
+#include "bilberry/admission/queue_forecast.h"
 #include "bilberry/members/agent_views.h"
 #include "bilberry/packet/packet_actions.h"
 #include "bilberry/routing/holder_search.h"
 #include "bilberry/routing/peer_balancers.h"
+#include "bilberry/routing/placement_options.h"
 #include "bilberry/routing/upstream_choice.h"
 #include "bilberry/targets/operator_state_cache.h"
 
@@ -74,6 +77,8 @@
   /// Maximum number of flows in the flow table.
   size_t MaxFlows = 300000;
 };
+  PlacementOptions Placement = {};
+  admission::OverloadOptions Overload = {};
 
 /// Counters exported as metrics.
 struct PacketRouterCounts {
--- a/bilberry/settings/packet_settings.cc
+++ b/bilberry/settings/packet_settings.cc
@@ -19,8 +19,8 @@
 static constexpr uint64_t MaxFlowTableSize = 10000000;
 static constexpr uint64_t MaxColdTolerance = 100000;
 static constexpr double MaxColdFactor = 1000;
-static constexpr std::array<std::string_view, 5> KnownSections = {
-    "process", "listen", "upstream", "store", "log"};
+static constexpr std::array<std::string_view, 7> KnownSections = {
+    "process", "listen", "upstream", "placement", "overload", "store", "log"};
 
 static base::Result<uint32_t> parseIp(std::string_view Text) {
   auto Parsed = base::parseAddress(std::string(Text) + ":1");
@@ -109,6 +109,53 @@
       Reader
           .optional("cold-tolerance", unsignedRangeParser(0, MaxColdTolerance))
           .value_or(Value.Cold.Tolerance));
+  Value.DampsFlapping =
+      Reader.optional("flap-damping", parseYesNo).value_or(Value.DampsFlapping);
+  Reader.reportUnknownKeys();
+}
+
+static base::Result<routing::PlacementPolicy>
+parsePlacementPolicy(std::string_view Text) {
+  if (Text == "least-loaded") {
+    return routing::PlacementPolicy::LeastLoaded;
+  }
+  if (Text == "even") {
+    return routing::PlacementPolicy::Even;
+  }
+  return base::Error{base::ErrorCode::Malformed,
+                     "'" + std::string(Text) + "' is not least-loaded or even"};
+}
+
+static void readPlacement(const IniDocument &Document, PacketSettings &Value,
+                          base::Findings &Problems) {
+  IniSection Section = findOrEmptySection(Document, "placement");
+  SectionReader Reader(Document.File, Section, Problems);
+  Value.Placement.Policy = Reader.optional("policy", parsePlacementPolicy)
+                               .value_or(Value.Placement.Policy);
+  Value.Placement.WeighsByServiceTime =
+      Reader.optional("weigh-by-service-time", parseYesNo)
+          .value_or(Value.Placement.WeighsByServiceTime);
+  Reader.reportUnknownKeys();
+}
+
+static void readOverload(const IniDocument &Document, MemberRole Role,
+                         PacketSettings &Value, base::Findings &Problems) {
+  IniSection Section = findOrEmptySection(Document, "overload");
+  SectionReader Reader(Document.File, Section, Problems);
+  admission::OverloadOptions &Options = Value.Overload;
+  if (Role == MemberRole::Agent) {
+    Options.ReservesByPriority =
+        Reader.optional("reserve-by-priority", parseYesNo)
+            .value_or(Options.ReservesByPriority);
+    Reader.forbid("refuse-early", "is for balancers");
+    Reader.forbid("callers-take-turns", "is for balancers");
+  } else {
+    Options.RefusesEarly = Reader.optional("refuse-early", parseYesNo)
+                               .value_or(Options.RefusesEarly);
+    Options.CallersTakeTurns = Reader.optional("callers-take-turns", parseYesNo)
+                                   .value_or(Options.CallersTakeTurns);
+    Reader.forbid("reserve-by-priority", "is for agents");
+  }
   Reader.reportUnknownKeys();
 }
 
@@ -142,6 +189,13 @@
     Problems.add({Document.File, Found->Line, Found->Name, ""},
                  "is for agents; a balancer has no upstream");
   }
+  if (Role == MemberRole::Balancer) {
+    readPlacement(Document, Value, Problems);
+  } else if (const IniSection *Found = Document.find("placement")) {
+    Problems.add({Document.File, Found->Line, Found->Name, ""},
+                 "is for balancers");
+  }
+  readOverload(Document, Role, Value, Problems);
   Value.Store = readStoreSection(Document, Problems);
   Value.Log = readLogSection(Document, Problems);
   checkSections(Document, KnownSections, Problems);
--- a/bilberry/settings/packet_settings.h
+++ b/bilberry/settings/packet_settings.h
@@ -5,7 +5,9 @@
 #define BILBERRY_SETTINGS_PACKET_SETTINGS_H
 
 #include "bilberry/admission/new_flow_admission.h"
+#include "bilberry/admission/overload_options.h"
 #include "bilberry/members/member.h"
+#include "bilberry/routing/placement_options.h"
 #include "bilberry/settings/process_settings.h"
 
 #include <string>
@@ -39,6 +41,11 @@
   /// multiplies the operators' rate; Tolerance is a number of flows per second
   /// added to it.
   admission::ColdRateLimit Cold;
+  /// An agent detects an upstream that alternates between up and down.
+  bool DampsFlapping = false;
+  /// For balancers.
+  routing::PlacementOptions Placement;
+  admission::OverloadOptions Overload;
   /// The time from the stop signal until the platform kills the process.
   base::Duration StopGrace = std::chrono::seconds(6);
   /// Capacity of a balancer's flow table.
--- a/bilberry/testing/packet_components_test.cc
+++ b/bilberry/testing/packet_components_test.cc
@@ -332,6 +332,39 @@
   EXPECT_EQ(Value.Cold.Tolerance, 5U);
 }
 
+// Without its settings, a deployment must behave as before.
+TEST(PacketSettings, LoadOptionsAreOffByDefault) {
+  base::Findings Problems;
+  settings::PacketSettings Value = settings::parsePacketSettings(
+      AgentText, "a.ini", members::MemberRole::Agent, Problems);
+  EXPECT_FALSE(Value.DampsFlapping);
+  EXPECT_FALSE(Value.Overload.ReservesByPriority);
+  EXPECT_EQ(Value.Placement.Policy, routing::PlacementPolicy::LeastLoaded);
+  EXPECT_FALSE(Value.Placement.WeighsByServiceTime);
+}
+
+TEST(PacketSettings, ParsesLoadOptions) {
+  std::string Text = AgentText;
+  Text += "[overload]\nreserve-by-priority = yes\n";
+  base::Findings Problems;
+  settings::PacketSettings Agent = settings::parsePacketSettings(
+      Text, "a.ini", members::MemberRole::Agent, Problems);
+  EXPECT_TRUE(Agent.Overload.ReservesByPriority);
+  settings::PacketSettings Balancer = settings::parsePacketSettings(
+      "[process]\nname = front-1\ndata-centre = mobile\n"
+      "[listen]\nip = 10.1.0.12\ncallers = 10.1.0.12:8172\n"
+      "health = 10.1.0.12:8167\nfirst-port = 7720\n"
+      "[placement]\npolicy = even\nweigh-by-service-time = yes\n"
+      "[overload]\nrefuse-early = yes\ncallers-take-turns = yes\n"
+      "[store]\naddress = 10.200.1.7:8169\n",
+      "b.ini", members::MemberRole::Balancer, Problems);
+  EXPECT_TRUE(Problems.empty()) << Problems.text();
+  EXPECT_EQ(Balancer.Placement.Policy, routing::PlacementPolicy::Even);
+  EXPECT_TRUE(Balancer.Placement.WeighsByServiceTime);
+  EXPECT_TRUE(Balancer.Overload.RefusesEarly);
+  EXPECT_TRUE(Balancer.Overload.CallersTakeTurns);
+}
+
 TEST(PacketSettings, ReportsInvalidSettings) {
   struct Case {
     const char *From;
@@ -348,6 +381,11 @@
       {"heartbeats = 10.1.0.12:8166\n", "", "heartbeats"},
       {"[store]", "[shop]", "unknown section"},
       {"service = rounds", "servise = rounds", "servise"},
+      {"[store]", "[placement]\npolicy = even\n[store]", "is for balancers"},
+      {"[store]", "[overload]\nrefuse-early = yes\n[store]",
+       "is for balancers"},
+      {"[store]", "[overload]\nreserve-by-priority = maybe\n[store]",
+       "reserve-by-priority"},
   };
   for (const Case &Item : Cases) {
     std::string Text = AgentText;
