Decide which new flows get capacity that is short

Under a burst, an upstream filled up with whatever arrived first; one caller could take the places of all others in the queue; and after a power failure flows were queued for 1.35 s although it was known that nothing could take them before their callers gave up.

Agents keep the last capacity for the priorities in use that are highest; callers take turns in the queue of new flows; and a queued flow is refused at once if all upstreams stay cold until its caller, with its retries, has given up. Each is a setting.

--- a/bilberry/admission/new_flow_admission.cc
+++ b/bilberry/admission/new_flow_admission.cc
@@ -17,11 +17,10 @@
   return It == Services.end() ? nullptr : &It->second;
 }
 
-bool hasWaitingCapacity(const NewFlowContext &Context) {
+bool hasWaitingCapacity(const NewFlowContext &Context, uint32_t PerSlot) {
   uint32_t Slots =
       Context.Upstream.currentRun() ? Context.Upstream.currentRun()->Slots : 1;
-  return Context.WaitingFlows <
-         MaxWaitingFlowsPerSlot * std::max<uint32_t>(1, Slots);
+  return Context.WaitingFlows < PerSlot * std::max<uint32_t>(1, Slots);
 }
 
 HopTag NewFlowAdmission::refusalReason(const NewFlowContext &Context) {
@@ -54,8 +53,8 @@
   auto OwnVersion = static_cast<uint32_t>(Context.Operators.Routes->Version);
   bool BalancerIsNewer =
       static_cast<int32_t>(Mark.RouteVersion - OwnVersion) > 0;
+  const targets::Route *RouteFound = Context.Operators.Routes->find(Route);
   if (!BalancerIsNewer) {
-    const targets::Route *RouteFound = Context.Operators.Routes->find(Route);
     if (!RouteFound ||
         !RouteFound->allows(Context.Upstream.currentRun()->Service)) {
       return HopTag::WrongService;
@@ -67,6 +66,14 @@
   if (!HasConnections || !hasWaitingCapacity(Context)) {
     return HopTag::Full;
   }
+  if (this->ReservesByPriority && RouteFound) {
+    this->Reserve.recordArrival(Context.Now, RouteFound->Priority);
+    uint32_t PerSlot =
+        this->Reserve.waitingFlowsPerSlot(Context.Now, RouteFound->Priority);
+    if (!hasWaitingCapacity(Context, PerSlot)) {
+      return HopTag::Reserved;
+    }
+  }
   return this->remainingNewFlows(Context) > 0 ? HopTag::None : HopTag::Cold;
 }
 
--- a/bilberry/admission/new_flow_admission.h
+++ b/bilberry/admission/new_flow_admission.h
@@ -18,6 +18,7 @@
 #ifndef BILBERRY_ADMISSION_NEW_FLOW_ADMISSION_H
 #define BILBERRY_ADMISSION_NEW_FLOW_ADMISSION_H
 
+#include "bilberry/admission/capacity_reserve.h"
 #include "bilberry/base/clock.h"
 #include "bilberry/members/upstream_record.h"
 #include "bilberry/packet/packet.h"
@@ -72,23 +73,22 @@
   uint32_t WaitingFlows = 0;
 };
 
-/// The maximum number of waiting flows per slot. A wait of three service times
-/// is about what the latency goals allow.
-inline constexpr uint32_t MaxWaitingFlowsPerSlot = 3;
-
-/// Returns true if the upstream has fewer waiting flows than
-/// MaxWaitingFlowsPerSlot allows for its slots.
-bool hasWaitingCapacity(const NewFlowContext &Context);
+/// Returns true if the upstream has fewer waiting flows than PerSlot allows for
+/// its slots.
+bool hasWaitingCapacity(const NewFlowContext &Context,
+                        uint32_t PerSlot = MaxWaitingFlowsPerSlot);
 
 /// Admits or refuses new flows for one upstream. Not thread-safe.
 class NewFlowAdmission {
 public:
   /// StartedAt is the start of this process. An earlier run of the process may
   /// have admitted new flows just before it, so a cold upstream gets none in
-  /// the first ColdRateWindow.
+  /// the first ColdRateWindow. ReservesByPriority keeps the last capacity for
+  /// the routes with the highest priority.
   NewFlowAdmission(base::DataCentreName DataCentre, ColdRateLimit Cold,
-                   base::TimePoint StartedAt)
-      : DataCentre(std::move(DataCentre)), Cold(Cold), StartedAt(StartedAt) {}
+                   base::TimePoint StartedAt, bool ReservesByPriority = false)
+      : DataCentre(std::move(DataCentre)), Cold(Cold), StartedAt(StartedAt),
+        ReservesByPriority(ReservesByPriority) {}
 
   /// Returns None if an opening packet for this route address may be delivered
   /// to the upstream, otherwise the reason for the refusal. Mark was set by
@@ -121,6 +121,12 @@
   /// The number of new flows that may still be admitted in this window;
   /// unlimited for a warm upstream.
   uint32_t remainingNewFlows(const NewFlowContext &Context) const;
+  /// The number of new flows that may be admitted in any ColdRateWindow while
+  /// the upstream is cold.
+  uint32_t maxColdNewFlows(const NewFlowContext &Context) const;
+  /// True if the upstream has sent nothing for MaxResponseDelay while packets
+  /// await a response.
+  bool hasTimedOut(base::TimePoint Now) const;
 
   /// The number of opening packets delivered after Begin, among the last
   /// MaxRecordedNewFlows.
@@ -128,12 +134,12 @@
 
 private:
   bool isCold(const NewFlowContext &Context) const;
-  bool hasTimedOut(base::TimePoint Now) const;
-  uint32_t maxColdNewFlows(const NewFlowContext &Context) const;
 
   base::DataCentreName DataCentre;
   ColdRateLimit Cold;
   base::TimePoint StartedAt;
+  bool ReservesByPriority;
+  CapacityReserve Reserve;
   // The times of the last new flows, as a ring buffer.
   std::array<base::TimePoint, MaxRecordedNewFlows> NewFlowTimes{};
   size_t NextNewFlowIndex = 0;
--- a/bilberry/admission/new_flow_queue.h
+++ b/bilberry/admission/new_flow_queue.h
@@ -10,11 +10,14 @@
 //
 // Order: flows that can still be answered within their latency goal first, then
 // the others; within each group by priority, then by arrival time. Packets
-// whose caller has given up are dropped.
+// whose caller has given up are dropped. If callers take turns, the flows of a
+// priority are ordered by how many flows of the same caller go before them or
+// were placed lately, and then by arrival time.
 
 #ifndef BILBERRY_ADMISSION_NEW_FLOW_QUEUE_H
 #define BILBERRY_ADMISSION_NEW_FLOW_QUEUE_H
 
+#include "bilberry/admission/caller_turns.h"
 #include "bilberry/base/clock.h"
 #include "bilberry/packet/packet.h"
 
@@ -54,6 +57,9 @@
 /// A bounded queue of opening packets, at most one per flow. Not thread-safe.
 class NewFlowQueue {
 public:
+  explicit NewFlowQueue(bool CallersTakeTurns = false)
+      : CallersTakeTurns(CallersTakeTurns) {}
+
   /// Adds a packet, or replaces that of the same flow. Returns false if the
   /// queue is full.
   bool hold(QueuedNewFlow Opening);
@@ -72,14 +78,29 @@
     for (const packet::FlowId &Flow : this->placementOrder(Now)) {
       auto It = this->Held.find(Flow);
       if (Offer(It->second) == OfferResult::Placed) {
+        this->Turns.recordPlaced(Now, Flow.Caller.Ip);
+        this->Held.erase(It);
+      }
+    }
+  }
+
+  /// Calls MustRefuse(const QueuedNewFlow &) -> bool for each packet in order,
+  /// and removes those for which it returns true. It must not call the queue.
+  template <typename Handler>
+  void refuseIf(base::TimePoint Now, Handler MustRefuse) {
+    for (const packet::FlowId &Flow : this->placementOrder(Now)) {
+      auto It = this->Held.find(Flow);
+      if (MustRefuse(It->second)) {
         this->Held.erase(It);
       }
     }
   }
 
 private:
-  std::vector<packet::FlowId> placementOrder(base::TimePoint Now) const;
+  std::vector<packet::FlowId> placementOrder(base::TimePoint Now);
 
+  bool CallersTakeTurns;
+  CallerTurns Turns;
   std::unordered_map<packet::FlowId, QueuedNewFlow> Held;
 };
 
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -39,7 +39,8 @@
                          const targets::OperatorStateCache &StateCache)
     : Self(std::move(Self)), StartedAt(StartedAt), UnpausedSince(StartedAt),
       StateCache(StateCache), Operators(StateCache.current()),
-      Admission(this->Self.DataCentre, Cold, StartedAt),
+      Admission(this->Self.DataCentre, Cold, StartedAt,
+                this->Self.Overload.ReservesByPriority),
       Balancers(this->Self.Name, this->Self.DataCentre), NextStatus(StartedAt),
       NextRelayedStatus(StartedAt), LastClockReading(StartedAt) {}
 
@@ -126,6 +127,7 @@
                              packet::hopTagText(Reason),
                              Packet.Mark.RouteVersion});
     this->IsCapacityAnnounced = false;
+    this->Counts.Reserved += Reason == HopTag::Reserved ? 1 : 0;
     this->returnPacket(From, Packet, Reason, Out);
     return;
   }
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -85,6 +85,8 @@
   uint64_t SuspectedRestarts = 0;
 };
 
+  uint64_t Reserved = 0;
+  uint64_t BecameUnstable = 0;
 /// Not thread-safe: the process guards it with one mutex.
 class PacketAgent {
 public:
--- a/bilberry/members/upstream_record.h
+++ b/bilberry/members/upstream_record.h
@@ -87,7 +87,12 @@
   }
   /// True while the upstream is cold according to its last heartbeat.
   bool isCold(base::TimePoint Now) const {
-    return this->CurrentRun && Now < this->ColdUntil;
+    return this->coldLeft(Now) > base::Duration(0);
+  }
+  /// How long the upstream stays cold according to its last heartbeat.
+  base::Duration coldLeft(base::TimePoint Now) const {
+    bool IsCold = this->CurrentRun && Now < this->ColdUntil;
+    return IsCold ? this->ColdUntil - Now : base::Duration(0);
   }
 
 private:
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -25,7 +25,8 @@
       Search(Agents, this->Self.DataCentre),
       Peers({this->Self.Name, this->Self.Run, this->Self.DataCentre,
              this->Self.Control},
-            StartedAt, Agents) {}
+            StartedAt, Agents),
+      Queue(this->Self.Overload.CallersTakeTurns) {}
 
 packet::HopMark PacketRouter::mark(HopTag Tag) const {
   return packet::makeHopMark(this->routeVersion(), Tag);
@@ -272,6 +273,83 @@
   });
 }
 
+// What is known of the upstreams that may get new flows of the service. The
+// capacity of cold ones in this data centre is shared with its other balancers;
+// those elsewhere are left to the balancers there.
+admission::ServiceCapacity
+PacketRouter::capacityOf(base::TimePoint Now,
+                         const base::ServiceName &Service) const {
+  admission::ServiceCapacity Capacity;
+  for (size_t I = 0; I < this->Agents.size(); ++I) {
+    const AgentView &View = this->Agents.at(static_cast<AgentIndex>(I));
+    if (View.IsGone) {
+      continue;
+    }
+    bool IsUnknown = !View.hasStatus();
+    bool IsOfService = View.Status.Service == Service &&
+                       View.Status.Condition == wire::AgentCondition::InService;
+    if (!IsUnknown && !IsOfService) {
+      continue;
+    }
+    if (IsUnknown || View.Status.ColdLeftMs == 0) {
+      Capacity.HasWarmUpstream = true;
+      continue;
+    }
+    base::TimePoint WarmAt =
+        View.LastStatusAt + std::chrono::milliseconds(View.Status.ColdLeftMs);
+    Capacity.WarmAt = std::min(Capacity.WarmAt.value_or(WarmAt), WarmAt);
+    if (!View.IsFar) {
+      Capacity.ColdFlowsPerSecond += View.Status.ColdFlowsPerSecond;
+    }
+  }
+  Capacity.ColdFlowsPerSecond /=
+      static_cast<double>(this->Peers.heard(Now) + 1);
+  return Capacity;
+}
+
+// Refuses queued flows that can't be placed before their callers give up.
+void PacketRouter::refuseQueuedOpenings(base::TimePoint Now,
+                                        PacketActions &Out) {
+  bool IsOn = this->Self.Overload.RefusesEarly && this->HasMembers &&
+              this->Operators->Routes;
+  if (!IsOn || this->Queue.size() == 0) {
+    return;
+  }
+  struct Forecast {
+    admission::ServiceCapacity Capacity;
+    size_t Position = 0;
+  };
+  std::map<base::ServiceName, Forecast> Forecasts;
+  this->Queue.refuseIf(Now, [&](const admission::QueuedNewFlow &Held) {
+    const targets::Route *Route =
+        this->Operators->Routes->find(Held.Flow.Route);
+    if (!Route || Route->Timeout == base::Duration(0)) {
+      return false;
+    }
+    const base::ServiceName &Service =
+        Route->selectService(packet::flowHash(Held.Flow));
+    auto [It, IsNew] = Forecasts.try_emplace(Service);
+    if (IsNew) {
+      It->second.Capacity = this->capacityOf(Now, Service);
+    }
+    base::TimePoint GivesUpAt = Held.ArrivedAt + Route->Timeout;
+    if (admission::mayBePlacedInTime(Now, It->second.Capacity,
+                                     It->second.Position, GivesUpAt)) {
+      ++It->second.Position;
+      return false;
+    }
+    this->Placements.erase(Held.Flow);
+    Out.Resets.push_back({Held.Flow, 0});
+    Out.Decisions.push_back({"flow-refused",
+                             Held.Flow,
+                             {},
+                             "no capacity in time",
+                             this->routeVersion()});
+    ++this->Counts.RefusedEarly;
+    return true;
+  });
+}
+
 void PacketRouter::refuse(const Packet &Packet, std::string_view Reason,
                           PacketActions &Out) {
   FlowId Id = Packet.flowFromCaller();
@@ -305,7 +383,10 @@
   }
   if (Agent != NoAgent) {
     Entry.Tried.push_back(Agent);
-    if (Packet.Mark.Tag == HopTag::Shed || Packet.Mark.Tag == HopTag::Full) {
+    bool IsFull = Packet.Mark.Tag == HopTag::Shed ||
+                  Packet.Mark.Tag == HopTag::Full ||
+                  Packet.Mark.Tag == HopTag::Reserved;
+    if (IsFull) {
       // Counted as load until the agent's next status.
       AgentView &View = this->Agents.at(Agent);
       recordPlacement(Now, View, View.Status.Slots);
@@ -543,6 +624,7 @@
     this->NextExpiry = Now + ExpiryInterval;
     this->expireFlows(Now);
   }
+  this->refuseQueuedOpenings(Now, Out);
 }
 
 } // namespace bilberry::routing
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -88,6 +88,7 @@
   uint64_t Returned = 0;
   uint64_t Refused = 0;
   uint64_t Held = 0;
+  uint64_t RefusedEarly = 0;
   uint64_t GivenUp = 0;
   uint64_t NoRoute = 0;
   uint64_t Resets = 0;
@@ -133,6 +134,10 @@
   const PacketRouterCounts &counts() const { return this->Counts; }
   const SearchCounts &searchCounts() const { return this->Search.counts(); }
   /// Number of flows in the flow table.
+  /// Number of upstreams that are much slower than others of their service.
+  size_t slowUpstreams() const { return this->Health.slowUpstreams(); }
+  /// Number of opening packets in the queue.
+  size_t queuedOpenings() const { return this->Queue.size(); }
   size_t flows() const { return this->Flows.size(); }
   /// The newest version of the documents that another process has reported.
   const wire::DocumentsVersion &newsHeard() const { return this->NewsHeard; }
@@ -177,6 +182,9 @@
   void refuse(const packet::Packet &Packet, std::string_view Reason,
               packet::PacketActions &Out);
   void forward(base::TimePoint Now, const packet::Packet &Packet,
+  admission::ServiceCapacity capacityOf(base::TimePoint Now,
+                                        const base::ServiceName &Service) const;
+  void refuseQueuedOpenings(base::TimePoint Now, packet::PacketActions &Out);
                KnownFlow &Flow, packet::PacketActions &Out);
   void search(base::TimePoint Now, const packet::Packet &Packet,
               packet::PacketActions &Out);
--- a/bilberry/targets/route_table.h
+++ b/bilberry/targets/route_table.h
@@ -29,6 +29,8 @@
   uint32_t Priority = 0;
   /// The target latency of a request.
   base::Duration LatencyTarget{0};
+  /// How long a caller waits for an answer, with its retries; 0 if unknown.
+  base::Duration Timeout{0};
 
   /// The service for a flow with that hash. Precondition: Shares isn't empty.
   const base::ServiceName &selectService(uint64_t FlowHash) const;
