Give fewer new flows to slow upstreams, and none to unstable ones

Agents measure the service time of their upstream. A balancer compares it with the median of the service: an upstream with more than twice the median counts for fewer slots. An agent whose upstream is down and up by turns reports it as unstable, and it gets new flows only if no other one has capacity. Each is a setting.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -175,7 +175,7 @@
     Flow.CallerAcknowledged = Packet.Acknowledged;
   }
   if (Packet.DataBytes > 0 && Flow.Stage == FlowStage::Open) {
-    this->Flows.recordCallerData(Flow, Packet);
+    this->Flows.recordCallerData(Now, Flow, Packet);
     this->Admission.recordPacketSent(Now);
   }
   this->Flows.recordFinOrReset(Flow, Packet, true);
@@ -250,6 +250,9 @@
     this->Flows.setStage(*Flow, FlowStage::Open);
   }
   if (Packet.DataBytes > 0) {
+    if (Flow->IsAwaitingResponse) {
+      this->ServiceTime.record(Now, Now - Flow->LastRequestAt);
+    }
     this->Flows.setAwaitingResponse(*Flow, false);
     this->announceFreeCapacity(Now, Out);
   }
@@ -345,6 +348,7 @@
     return members::HeartbeatOutcome::Foreign;
   }
   bool HadRun = this->Upstream.currentRun().has_value();
+  bool WasDraining = HadRun && this->Upstream.currentRun()->IsDraining;
   base::TimePoint PreviousHeartbeat = this->Upstream.lastHeartbeatAt();
   members::HeartbeatOutcome Outcome =
       this->Upstream.applyHeartbeat(Now, Report);
@@ -363,6 +367,10 @@
       this->resetFlowsBefore(Now, PreviousHeartbeat,
                              "its upstream was restarted", Out);
     }
+    if (HadRun && !WasDraining) {
+      this->Damping.recordFailure(Now);
+    }
+    this->ServiceTime.reset();
     this->SawUpstreamStart = HadRun || this->startedBefore(Report);
     if (Report.Sequence <= 1) {
       this->Admission.recordFirstHeartbeat();
@@ -538,6 +546,7 @@
   Status.Documents = {Context.Operators.Changed, this->Self.Pages,
                       Context.Operators.Era};
   Status.Sequence = ++this->LastSequence;
+  Status.AdmittedFlows = this->Counts.Opened;
   if (const auto &Report = this->Upstream.currentRun()) {
     Status.Service = Report->Service;
     Status.Slots = std::max<uint32_t>(1, Report->Slots);
@@ -546,17 +555,6 @@
   if (Status.Condition == wire::AgentCondition::InService) {
     Status.RemainingNewFlows = this->Admission.remainingNewFlows(Context);
   }
-  return Status;
-}
-  Status.AdmittedFlows = this->Counts.Opened;
-
-wire::AgentCondition
-PacketAgent::condition(const admission::NewFlowContext &Context) {
-  if (this->IsStopping) {
-    return wire::AgentCondition::Stopping;
-  }
-  switch (this->Admission.refusalReason(Context)) {
-  case HopTag::None:
   Status.ServiceTimeUs = static_cast<uint32_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(
           this->ServiceTime.expected(Now, Status.WaitingFlows, Status.Slots))
@@ -568,6 +566,37 @@
         std::chrono::ceil<std::chrono::milliseconds>(ColdLeft).count());
     Status.ColdFlowsPerSecond = this->Admission.maxColdNewFlows(Context);
   }
+  return Status;
+}
+
+// Records when the upstream stops responding, and whether it has become stable
+// or unstable.
+void PacketAgent::updateDamping(base::TimePoint Now, PacketActions &Out) {
+  bool IsSilent = this->Admission.hasTimedOut(Now);
+  if (IsSilent && !this->WasSilent) {
+    this->Damping.recordFailure(Now);
+  }
+  this->WasSilent = IsSilent;
+  bool WasUnstable = this->Damping.isUnstable();
+  bool IsUnstable = this->Damping.update(Now);
+  if (!this->Self.DampsFlapping || IsUnstable == WasUnstable) {
+    return;
+  }
+  this->Counts.BecameUnstable += IsUnstable ? 1 : 0;
+  auto Tenths = static_cast<int>(this->Damping.penalty(Now) * 10);
+  Out.Events.push_back(IsUnstable ? "event=upstream-unstable penalty-tenths=" +
+                                        std::to_string(Tenths)
+                                  : "event=upstream-stable");
+  this->sendStatus(Now, true, Out);
+}
+
+wire::AgentCondition
+PacketAgent::condition(const admission::NewFlowContext &Context) {
+  if (this->IsStopping) {
+    return wire::AgentCondition::Stopping;
+  }
+  switch (this->Admission.refusalReason(Context)) {
+  case HopTag::None:
     return wire::AgentCondition::InService;
   case HopTag::Draining:
     return wire::AgentCondition::Draining;
@@ -689,6 +718,7 @@
                            Out);
     this->UpstreamLeftAt.reset();
   }
+  this->updateDamping(Now, Out);
   this->announceFreeCapacity(Now, Out);
   // Balancers wait for this agent in searches until they know.
   if (this->knowsAllFlows(Now) != this->LastSentKnowsAllFlows) {
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -12,15 +12,17 @@
 #ifndef BILBERRY_AGENT_PACKET_AGENT_H
 #define BILBERRY_AGENT_PACKET_AGENT_H
 
+#include "bilberry/admission/flap_damping.h"
 #include "bilberry/admission/new_flow_admission.h"
-#include "bilberry/agent/status_receivers.h"
 #include "bilberry/admission/overload_options.h"
 #include "bilberry/admission/service_time_meter.h"
+#include "bilberry/agent/status_receivers.h"
 #include "bilberry/members/upstream_record.h"
 #include "bilberry/packet/packet_actions.h"
 #include "bilberry/routing/held_flows.h"
 #include "bilberry/targets/operator_state_cache.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <vector>
@@ -66,10 +68,10 @@
   /// the same data centre.
   base::ServiceName Service;
   base::Address Upstream;
-};
-
   bool DampsFlapping = false;
   admission::OverloadOptions Overload = {};
+};
+
 /// Event counters since the start, for the metrics page.
 struct PacketAgentCounts {
   uint64_t Opened = 0;
@@ -83,10 +85,10 @@
   uint64_t StaleReports = 0;
   uint64_t ForeignReports = 0;
   uint64_t SuspectedRestarts = 0;
-};
-
   uint64_t Reserved = 0;
   uint64_t BecameUnstable = 0;
+};
+
 /// Not thread-safe: the process guards it with one mutex.
 class PacketAgent {
 public:
@@ -131,6 +133,15 @@
   const PacketAgentCounts &counts() const { return this->Counts; }
   const members::UpstreamRecord &upstream() const { return this->Upstream; }
   size_t flows() const { return this->Flows.size(); }
+  /// The recent service time of the upstream; 0 if unknown.
+  base::Duration serviceTime(base::TimePoint Now) const {
+    return this->ServiceTime.expected(Now, this->waitingFlows(Now),
+                                      this->slots());
+  }
+  /// The upstream's penalty for failures (admission::FlapDamping).
+  double penalty(base::TimePoint Now) const {
+    return this->Damping.penalty(Now);
+  }
   /// The highest revision of the operators' documents that a balancer has
   /// reported, and the address to fetch it from.
   const wire::DocumentsVersion &newestDocuments() const {
@@ -141,6 +152,11 @@
   bool mustFollowStore(base::TimePoint Now) const;
 
 private:
+  uint32_t slots() const {
+    const auto &Run = this->Upstream.currentRun();
+    return Run ? std::max<uint32_t>(1, Run->Slots) : 1;
+  }
+
   /// Flows to report to the balancers of one data centre.
   struct FlowChanges {
     std::vector<packet::FlowId> Opened;
@@ -185,6 +201,7 @@
                      const wire::HolderQuery &Query,
                      packet::PacketActions &Out);
   wire::AgentStatus status(base::TimePoint Now);
+  void updateDamping(base::TimePoint Now, packet::PacketActions &Out);
   wire::AgentCondition condition(const admission::NewFlowContext &Context);
   void announceOpened(base::TimePoint Now, base::Duration MinAge);
   void announceFreeCapacity(base::TimePoint Now, packet::PacketActions &Out);
@@ -202,6 +219,10 @@
   std::shared_ptr<const targets::OperatorState> Operators;
   admission::NewFlowAdmission Admission;
   members::UpstreamRecord Upstream;
+  admission::ServiceTimeMeter ServiceTime;
+  admission::FlapDamping Damping;
+  // The upstream was silent at the last tick.
+  bool WasSilent = false;
   routing::HeldFlows Flows;
   StatusReceivers Balancers;
   // By the data centre of the balancer that sends the flow's packets.
--- a/bilberry/agent/packet_agent_process.cc
+++ b/bilberry/agent/packet_agent_process.cc
@@ -2,7 +2,8 @@
 
 namespace bilberry::agent {
 
-void addAgentMetrics(const PacketAgent &Agent, metrics::Exposition &Page) {
+void addAgentMetrics(base::TimePoint Now, const PacketAgent &Agent,
+                     metrics::Exposition &Page) {
   const PacketAgentCounts &Counts = Agent.counts();
   Page.counter("bilberry_flows_taken_total",
                "Opening packets delivered to the upstream", Counts.Opened);
@@ -32,6 +33,18 @@
                "Times that the upstream's packets showed a restart before its "
                "heartbeats did",
                Counts.SuspectedRestarts);
+  Page.counter("bilberry_flows_reserved_total",
+               "New flows returned because the remaining capacity is reserved "
+               "for routes with a higher priority",
+               Counts.Reserved);
+  Page.counter("bilberry_upstream_unstable_total",
+               "Times that the upstream became unstable",
+               Counts.BecameUnstable);
+  Page.gauge("bilberry_upstream_penalty",
+             "Failures of the upstream, halved every 4 s", Agent.penalty(Now));
+  Page.gauge("bilberry_upstream_service_time_seconds",
+             "Recent service time of the upstream, with its queue",
+             std::chrono::duration<double>(Agent.serviceTime(Now)).count());
   Page.gauge("bilberry_flows_held", "Flows that the upstream holds",
              static_cast<double>(Agent.flows()));
 }
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -36,7 +36,8 @@
 inline constexpr base::Duration MaxWithdrawalWait = std::chrono::seconds(1);
 
 /// Adds an agent's metrics to a page.
-void addAgentMetrics(const PacketAgent &Agent, metrics::Exposition &Page);
+void addAgentMetrics(base::TimePoint Now, const PacketAgent &Agent,
+                     metrics::Exposition &Page);
 
 /// One agent process. Call run() from the main thread; onReport(), onLeave()
 /// and onMalformedHeartbeat() are thread-safe.
@@ -249,7 +250,7 @@
     metrics::Exposition Page;
     this->Node.addMetrics(Page);
     std::lock_guard Lock(this->Node.mutex());
-    addAgentMetrics(this->Agent, Page);
+    addAgentMetrics(this->Node.now(), this->Agent, Page);
     return Page.text();
   }
 
--- a/bilberry/balancer/packet_balancer.cc
+++ b/bilberry/balancer/packet_balancer.cc
@@ -21,6 +21,16 @@
                "Packets that an agent returned", Counts.Returned);
   Page.counter("bilberry_flows_refused_total",
                "Opening packets that no upstream accepted", Counts.Refused);
+  Page.counter(
+      "bilberry_flows_refused_early_total",
+      "Queued opening packets refused because no upstream would accept "
+      "them in time",
+      Counts.RefusedEarly);
+  Page.gauge("bilberry_upstreams_slow",
+             "Upstreams much slower than others of their service",
+             static_cast<double>(Router.slowUpstreams()));
+  Page.gauge("bilberry_queue_length", "Queued opening packets",
+             static_cast<double>(Router.queuedOpenings()));
   Page.counter("bilberry_flows_held_total",
                "Opening packets queued until an agent has capacity",
                Counts.Held);
--- a/bilberry/routing/held_flows.cc
+++ b/bilberry/routing/held_flows.cc
@@ -57,12 +57,14 @@
   }
 }
 
-void HeldFlows::recordCallerData(HeldFlow &Flow, const packet::Packet &Packet) {
+void HeldFlows::recordCallerData(base::TimePoint Now, HeldFlow &Flow,
+                                 const packet::Packet &Packet) {
   uint32_t End = Packet.Sequence + Packet.DataBytes;
   bool IsNew = !Flow.CallerEndSequence ||
                static_cast<int32_t>(End - *Flow.CallerEndSequence) > 0;
   if (IsNew) {
     Flow.CallerEndSequence = End;
+    Flow.LastRequestAt = Now;
     this->setAwaitingResponse(Flow, true);
   }
 }
--- a/bilberry/routing/held_flows.h
+++ b/bilberry/routing/held_flows.h
@@ -59,6 +59,8 @@
   /// When the upstream last sent a packet of the flow; the epoch if this agent
   /// hasn't relayed one.
   base::TimePoint LastUpstreamPacketAt;
+  /// When the caller last sent new data.
+  base::TimePoint LastRequestAt;
 };
 
 /// How long a flow that doesn't complete its opening is retained. Callers give
@@ -96,7 +98,8 @@
   void setAwaitingResponse(HeldFlow &Flow, bool IsAwaitingResponse);
   /// Records data from the caller. A retransmission doesn't mark the flow as
   /// awaiting a response, because that may have been sent already.
-  void recordCallerData(HeldFlow &Flow, const packet::Packet &Packet);
+  void recordCallerData(base::TimePoint Now, HeldFlow &Flow,
+                        const packet::Packet &Packet);
   /// Records the end of one direction (FIN) or of both (reset), if the packet
   /// has such a flag. Called for every packet.
   void recordFinOrReset(HeldFlow &Flow, const packet::Packet &Packet,
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -48,7 +48,6 @@
   return false;
 }
 
-void PacketRouter::recordFlow(base::TimePoint Now, const FlowId &Id,
 double PacketRouter::arrivalsPerSecond() const {
   double Sum = 0;
   for (size_t I = 0; I < this->Agents.size(); ++I) {
@@ -58,6 +57,7 @@
   return Sum;
 }
 
+void PacketRouter::recordFlow(base::TimePoint Now, const FlowId &Id,
                               AgentIndex Holder, bool IsConfirmed) {
   if (this->Flows.size() >= this->Self.MaxFlows && !this->Flows.contains(Id)) {
     return;
@@ -575,6 +575,7 @@
                               PacketActions &Out) {
   // Agents of this data centre that rely on this balancer get a new version of
   // the documents at once.
+  wire::DocumentsVersion Documents = this->documentsVersion();
   bool HasNews =
       IsStoreCurrent && wire::isNewer(Documents, this->AnnouncedDocuments);
   this->AnnouncedDocuments = Documents;
@@ -615,16 +616,21 @@
         " silent-ms=" + std::to_string(Silence.count()) +
         (View.IsAnnounced ? " announced=yes" : " announced=no"));
   }
+  if (this->Self.Placement.WeighsByServiceTime) {
+    for (std::string &Line : this->Health.update(Now, this->Agents)) {
+      Out.Events.push_back(std::move(Line));
+    }
+  }
   this->Search.onTick(this->searchContext(Now), Out);
   this->recordLocatedFlows(Now);
   this->placeQueuedOpenings(Now, Out);
+  this->refuseQueuedOpenings(Now, Out);
   this->Peers.onTick(Now, IsStoreCurrent, this->documentsVersion(), Out);
   this->sendHellos(Now, IsStoreCurrent, Out);
   if (Now >= this->NextExpiry) {
     this->NextExpiry = Now + ExpiryInterval;
     this->expireFlows(Now);
   }
-  this->refuseQueuedOpenings(Now, Out);
 }
 
 } // namespace bilberry::routing
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -21,6 +21,7 @@
 #include "bilberry/routing/peer_balancers.h"
 #include "bilberry/routing/placement_options.h"
 #include "bilberry/routing/upstream_choice.h"
+#include "bilberry/routing/upstream_health.h"
 #include "bilberry/targets/operator_state_cache.h"
 
 #include <map>
@@ -76,9 +77,9 @@
   base::Address Control;
   /// Maximum number of flows in the flow table.
   size_t MaxFlows = 300000;
-};
   PlacementOptions Placement = {};
   admission::OverloadOptions Overload = {};
+};
 
 /// Counters exported as metrics.
 struct PacketRouterCounts {
@@ -87,8 +88,8 @@
   uint64_t Forwarded = 0;
   uint64_t Returned = 0;
   uint64_t Refused = 0;
-  uint64_t Held = 0;
   uint64_t RefusedEarly = 0;
+  uint64_t Held = 0;
   uint64_t GivenUp = 0;
   uint64_t NoRoute = 0;
   uint64_t Resets = 0;
@@ -133,21 +134,21 @@
   bool isReady() const;
   const PacketRouterCounts &counts() const { return this->Counts; }
   const SearchCounts &searchCounts() const { return this->Search.counts(); }
-  /// Number of flows in the flow table.
   /// Number of upstreams that are much slower than others of their service.
   size_t slowUpstreams() const { return this->Health.slowUpstreams(); }
   /// Number of opening packets in the queue.
   size_t queuedOpenings() const { return this->Queue.size(); }
+  /// Number of flows in the flow table.
   size_t flows() const { return this->Flows.size(); }
+  /// The number of new flows per second that the agents admit, from all
+  /// balancers, as far as they report it.
+  double arrivalsPerSecond() const;
   /// The newest version of the documents that another process has reported.
   const wire::DocumentsVersion &newsHeard() const { return this->NewsHeard; }
 
 private:
   /// A flow whose holder is known or assumed.
   struct KnownFlow {
-  /// The number of new flows per second that the agents admit, from all
-  /// balancers, as far as they report it.
-  double arrivalsPerSecond() const;
     members::AgentIndex Holder = members::NoAgent;
     /// The agent has confirmed that it holds the flow.
     bool IsConfirmed = false;
@@ -181,10 +182,10 @@
   void placeQueuedOpenings(base::TimePoint Now, packet::PacketActions &Out);
   void refuse(const packet::Packet &Packet, std::string_view Reason,
               packet::PacketActions &Out);
-  void forward(base::TimePoint Now, const packet::Packet &Packet,
   admission::ServiceCapacity capacityOf(base::TimePoint Now,
                                         const base::ServiceName &Service) const;
   void refuseQueuedOpenings(base::TimePoint Now, packet::PacketActions &Out);
+  void forward(base::TimePoint Now, const packet::Packet &Packet,
                KnownFlow &Flow, packet::PacketActions &Out);
   void search(base::TimePoint Now, const packet::Packet &Packet,
               packet::PacketActions &Out);
@@ -224,6 +225,7 @@
   std::unordered_map<packet::FlowId, Placement> Placements;
   HolderSearch Search;
   PeerBalancers Peers;
+  UpstreamHealth Health;
   admission::NewFlowQueue Queue;
   // When an upstream of each service last accepted new flows.
   std::map<base::ServiceName, base::TimePoint> LastServedAt;
