--- a/scripts/lib/tidy.py
+++ b/scripts/lib/tidy.py
@@ -51,7 +51,9 @@
                               capture_output=True)
         if text.returncode != 0:
             return None
-        return hashlib.sha256(self.common + path.encode() + text.stdout).hexdigest()
+        # Macros that name the file contain the folder of the checkout.
+        relative = text.stdout.replace(os.getcwd().encode(), b"")
+        return hashlib.sha256(self.common + path.encode() + relative).hexdigest()
 
     def check(self, path):
         """Returns the findings of a file as text, and whether it has any."""
