--- a/bilberry/testing/even_load_test.cc
+++ b/bilberry/testing/even_load_test.cc
@@ -413,7 +413,9 @@
     ASSERT_EQ(drawCandidate(Candidates, 0, Random()), 0);
   }
   // Rooms of 4, 2 and 0 flows.
-  EXPECT_NEAR(Drawn[0], Draws * 2 / 3, Draws / 20);
+  constexpr double Expected = Draws * 2.0 / 3;
+  constexpr double Tolerance = Draws / 20.0;
+  EXPECT_NEAR(Drawn[0], Expected, Tolerance);
   EXPECT_EQ(Drawn[2], 0);
 }
 
