Give each test of the peer links ports of its own

The two tests of the fixture used the same two fixed ports and are run in parallel, each as a process; in that run the other one had not yet ended (it is reported after this one). The ports now follow from the process id.

--- a/bilberry/testing/links_test.cc
+++ b/bilberry/testing/links_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <poll.h>
+#include <unistd.h>
 
 namespace bilberry::links {
 namespace {
@@ -43,6 +44,15 @@
 // instead of sleeping.
 class PeerLinksTest : public testing::Test {
 protected:
+  // Tests run in parallel as processes of their own, so each process uses its
+  // own ports, below the range from which the kernel assigns ports.
+  static uint16_t port(int Index) {
+    constexpr int FirstPort = 20000;
+    constexpr int ProcessCount = 6000;
+    return static_cast<uint16_t>(FirstPort + (2 * (getpid() % ProcessCount)) +
+                                 Index);
+  }
+
   static members::Member member(const char *Name, uint16_t Port) {
     members::Member Value;
     Value.Name = base::MemberName(Name);
@@ -63,8 +73,8 @@
   }
 
   base::TimePoint Now = base::TimePoint(std::chrono::hours(1));
-  board::LocalMember FirstSelf{member("rounds-1", 27611)};
-  board::LocalMember SecondSelf{member("rounds-2", 27612)};
+  board::LocalMember FirstSelf{member("rounds-1", port(0))};
+  board::LocalMember SecondSelf{member("rounds-2", port(1))};
   PeerLinks First{FirstSelf};
   PeerLinks Second{SecondSelf};
 };
