--- a/bilberry/admission/queue_forecast.h
+++ b/bilberry/admission/queue_forecast.h
@@ -4,7 +4,7 @@
 // few new flows per second. It is known how long they stay cold. A flow whose
 // caller gives up before that, and that comes after more flows than the cold
 // upstreams accept until then, can't be served by this attempt nor by a retry:
-// its caller is told so at once. All other flows wait, since a caller that is
+// its caller gets a reset now. All other flows wait, since a caller that is
 // refused uses up its retries within milliseconds.
 
 #ifndef BILBERRY_ADMISSION_QUEUE_FORECAST_H
