--- /dev/null
+++ b/review/standin-2/main.cc
@@ -0,0 +1,29 @@
+// review-trial CASE RECORD: runs one case; the exit code is 1 if the rule was
+// broken, 0 if it held, 2 if the case couldn't run.
+
+#include "trial.h"
+
+#include <map>
+
+int case7();
+
+int main(int Argc, char **Argv) {
+  const std::map<std::string, int (*)()> Cases = {{"7", case7}};
+  if (Argc != 3 || !Cases.contains(Argv[1])) {
+    fprintf(stderr, "usage: review-trial CASE RECORD\n");
+    return review::CouldNotRun;
+  }
+  review::openRecord(Argv[2]);
+  review::record(std::string("case ") + Argv[1] + ", " +
+                 (review::hasTrouble() ? "with" : "without") +
+                 " the disruption");
+  int Code = review::CouldNotRun;
+  try {
+    Code = Cases.at(Argv[1])();
+  } catch (const std::exception &Cause) {
+    review::record(std::string("could not run: ") + Cause.what());
+    fprintf(stderr, "could not run: %s\n", Cause.what());
+  }
+  review::record("exit code " + std::to_string(Code));
+  return Code;
+}
