--- a/review/standin-2/case7.cc
+++ b/review/standin-2/case7.cc
@@ -1,5 +1,6 @@
 // A late heartbeat of a server that has crashed reaches an agent that was just
-// restarted by planned work.
+// restarted by planned work. With VARIANT=born it is one of another writer,
+// without the field `born`.
 
 #include "trial.h"
 
@@ -9,23 +10,32 @@
 
 static const Endpoint Route{(198U << 24U) | (18U << 16U) | 1U, 8443};
 
-static int run() {
+enum class Variant { LateHeartbeat, MissingField };
+
+static int run(Variant Kind) {
   Deployment D;
   const uint32_t Balancer = machine(1, 10);
-  const uint32_t Machine1 = machine(1, 11), Machine2 = machine(1, 12);
-  D.store().put("op/config", configuration(3, {{"198.18.0.1", "rounds"}},
-                                           {"rounds"}));
+  const uint32_t Machine2 = machine(1, 12);
+  D.store().put("op/config",
+                configuration(3, {{"198.18.0.1", "rounds"}}, {"rounds"}));
   D.balancer("front-z-1", "z", Balancer);
-  D.agent("side-z-1", "z", Machine1, "rounds");
+  std::vector<std::unique_ptr<Server>> Others;
+  std::vector<Server *> All;
+  for (int I : {1, 3, 4, 5, 6, 7, 8}) {
+    std::string Number = std::to_string(I);
+    D.agent("side-z-" + Number, "z", machine(1, 10 + I), "rounds");
+    Others.push_back(std::make_unique<Server>(Server::Options{
+        "i-other-" + Number, "rounds", "z", machine(1, 10 + I)}));
+    All.push_back(Others.back().get());
+  }
   Program &Agent2 = D.agent("side-z-2", "z", Machine2, "rounds");
   Clients Callers(machine(9, 1));
   Callers.setNodes({Balancer});
-  Server Other({"i-other", "rounds", "z", Machine1});
 
   // The earlier incarnation. Its last heartbeat doesn't arrive for now.
   std::string LateBody;
   const std::string OldId = "i-old";
-  {
+  if (Kind == Variant::LateHeartbeat) {
     Server Old({OldId, "rounds", "z", Machine2});
     waitFor("the first server's registration", 5,
             [&] { return Old.lastAckedBeat() > 0; });
@@ -34,25 +44,27 @@
     record("server i-old: heartbeat seq " + std::to_string(Old.sequence() + 1) +
            " is held up on its way");
     Old.crash();
+    sleepUntil(now() + 2);
   }
-  sleepUntil(now() + 2);
   Server New({"i-new", "rounds", "z", Machine2});
+  All.push_back(&New);
   waitFor("the new incarnation's registration", 8,
           [&] { return New.lastAckedBeat() > 0; });
   waitFor("the balancer in rotation", 8,
           [&] { return Callers.inRotation().size() == 1; });
   sleepUntil(now() + 1);
+  if (Kind == Variant::MissingField) {
+    LateBody = New.beatBody(1, /*WithBorn=*/false);
+  }
+  const std::string SenderId =
+      Kind == Variant::LateHeartbeat ? OldId : "i-other-writer";
 
   std::vector<std::unique_ptr<LongFlow>> Flows;
   std::atomic<bool> Stop{false};
-  for (int I = 0; I < 16; ++I) {
+  for (int I = 0; I < 64; ++I) {
     auto F = std::make_unique<LongFlow>();
-    F->State = Callers.open(Route);
-    if (!F->State ||
-        !Callers.request(F->State, "q" + std::to_string(I) + "-first", 2)) {
-      throw NotRun("a flow could not be opened");
-    }
-    F->Holder = holderOf(F->State, {&Other, &New});
+    F->State = openUsed(Callers, Route, "q" + std::to_string(I));
+    F->Holder = holderOf(F->State, All);
     LongFlow *Raw = F.get();
     F->Thread = std::thread([&Callers, &Stop, Raw, I] {
       for (int N = 1; !Stop && !Raw->State->IsReset; ++N) {
@@ -75,10 +87,13 @@
     sleepUntil(now() + 0.35);
     double End = now() + 1;
     while (Status < 0 && now() < End) {
-      Status = sendBeat(Machine2, OldId, LateBody, 0.2);
+      Status = sendBeat(Machine2, SenderId, LateBody, 0.2);
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
-    record("the late heartbeat of i-old arrives -> " + std::to_string(Status));
+    record((Kind == Variant::LateHeartbeat
+                ? "the late heartbeat of i-old arrives -> "
+                : "a heartbeat without born arrives -> ") +
+           std::to_string(Status) + ": " + LateBody);
   }
   sleepUntil(now() + 8);
   Stop = true;
@@ -102,4 +117,8 @@
   return Broken > 0 ? ExitCode::Broken : Held;
 }
 
-int case7() { return run(); }
+int case7() {
+  const char *Value = getenv("VARIANT");
+  bool IsMissingField = Value != nullptr && std::string(Value) == "born";
+  return run(IsMissingField ? Variant::MissingField : Variant::LateHeartbeat);
+}
--- a/review/standin-2/trial.h
+++ b/review/standin-2/trial.h
@@ -30,7 +30,8 @@
 /// The store, and the project's programs with their settings.
 class Deployment {
 public:
-  Deployment() : StoreIp(machine(0, 7)), TheStore(StoreIp) {
+  explicit Deployment(size_t StoreThreads = 64)
+      : StoreIp(machine(0, 7)), TheStore(StoreIp, StoreThreads) {
     char Template[] = "/tmp/review-XXXXXX";
     Folder = mkdtemp(Template);
   }
@@ -53,6 +54,10 @@
     return add(Name, "target/bilberry-packet-agent",
                agentSettings(Name, Zone, Ip, Service, StoreIp));
   }
+  /// Forgets the programs that have ended.
+  void forgetEnded() {
+    std::erase_if(Programs, [](auto &P) { return !P->isRunning(); });
+  }
   /// Stops a program as the platform does at planned work, and starts it again
   /// after Delay seconds.
   static void restart(Program &P, double Delay) {
@@ -62,11 +67,16 @@
     P.start();
   }
 
+  /// The programs that are added from now on write to a log collector, which
+  /// reads while *Reads is true.
+  void collectOutput(const std::atomic<bool> *Reads) { CollectorReads = Reads; }
+
 private:
   Program &add(const std::string &Name, const std::string &Binary,
                const std::string &Settings) {
     Programs.push_back(
         std::make_unique<Program>(Name, Binary, Settings, Folder));
+    Programs.back()->collectOutput(CollectorReads);
     Programs.back()->start();
     return *Programs.back();
   }
@@ -74,6 +84,7 @@
   uint32_t StoreIp;
   Store TheStore;
   std::string Folder;
+  const std::atomic<bool> *CollectorReads = nullptr;
   std::vector<std::unique_ptr<Program>> Programs;
 };
 
@@ -96,6 +107,18 @@
   std::atomic<int> Sent{0}, Answered{0};
 };
 
+/// Opens a flow and sends a first request on it; tries three times.
+inline Clients::Flow openUsed(Clients &Callers, Endpoint Route,
+                              const std::string &Id) {
+  for (int I = 0; I < 3; ++I) {
+    Clients::Flow F = Callers.open(Route);
+    if (F && Callers.request(F, Id + "-first" + std::to_string(I), 2)) {
+      return F;
+    }
+  }
+  throw NotRun("a flow could not be opened");
+}
+
 inline Server *holderOf(const Clients::Flow &F,
                         const std::vector<Server *> &All) {
   for (Server *S : All) {
--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -65,8 +65,28 @@
   return Text;
 }
 
+// Draws the second byte of the trial's addresses. A socket that stays bound
+// keeps other trials off it.
+static int drawNetwork() {
+  for (int I = 0; I < 200; ++I) {
+    int N = 20 + static_cast<int>((getpid() + I) % 200);
+    int Lock = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in A{};
+    A.sin_family = AF_INET;
+    A.sin_port = htons(Ports::Store);
+    A.sin_addr.s_addr =
+        htonl((127U << 24U) | (static_cast<uint32_t>(N) << 16U) | 9U);
+    if (bind(Lock, reinterpret_cast<sockaddr *>(&A), sizeof(A)) == 0) {
+      return N;
+    }
+    close(Lock);
+  }
+  std::cerr << "no free addresses\n";
+  _exit(2);
+}
+
 uint32_t machine(int A, int B) {
-  static const int N = 20 + static_cast<int>(getpid() % 200);
+  static const int N = drawNetwork();
   return (127U << 24U) | (static_cast<uint32_t>(N) << 16U) |
          (static_cast<uint32_t>(A) << 8U) | static_cast<uint32_t>(B);
 }
@@ -194,6 +214,7 @@
   std::map<int64_t, Lease> Leases;
   int64_t Revision = 10, NextLease = 1000;
   std::atomic<bool> Stop{false};
+  std::atomic<double> WatchLimit{3600};
   httplib::Server Http;
   std::thread Listener, Expiry;
 
@@ -255,22 +276,24 @@
   return Out;
 }
 
-Store::Store(uint32_t Ip) : I(std::make_unique<Impl>()) {
+Store::Store(uint32_t Ip, size_t Threads) : I(std::make_unique<Impl>()) {
   Impl &S = *I;
   S.Ip = Ip;
-  S.Http.new_task_queue = [] { return new httplib::ThreadPool(64); };
+  S.Http.new_task_queue = [Threads] {
+    return new httplib::ThreadPool(Threads);
+  };
   S.Http.set_tcp_nodelay(true);
-  S.Http.Get("/bilberrylb/kv-key", [&S](const httplib::Request &Q,
-                                        httplib::Response &R) {
-    std::lock_guard Lock(S.M);
-    auto It = S.Items.find(Q.get_param_value("key"));
-    if (It == S.Items.end()) {
-      return Impl::answer(R, 404, json::object());
-    }
-    json Body = Impl::itemJson(It->first, It->second);
-    Body["as_of"] = S.Revision;
-    Impl::answer(R, 200, Body);
-  });
+  S.Http.Get("/bilberrylb/kv-key",
+             [&S](const httplib::Request &Q, httplib::Response &R) {
+               std::lock_guard Lock(S.M);
+               auto It = S.Items.find(Q.get_param_value("key"));
+               if (It == S.Items.end()) {
+                 return Impl::answer(R, 404, json::object());
+               }
+               json Body = Impl::itemJson(It->first, It->second);
+               Body["as_of"] = S.Revision;
+               Impl::answer(R, 200, Body);
+             });
   S.Http.Get("/bilberrylb/kv-range", [&S](const httplib::Request &Q,
                                           httplib::Response &R) {
     std::lock_guard Lock(S.M);
@@ -298,19 +321,23 @@
     std::string Prefix = Q.get_param_value("prefix");
     int64_t After = std::stoll(Q.get_param_value("after"));
     double End = now() + std::stod(Q.get_param_value("wait_ms")) / 1000;
+    double CutAt = now() + S.WatchLimit;
     std::unique_lock Lock(S.M);
     while (true) {
       json Events = json::array();
-      for (auto It = S.Log.rbegin();
-           It != S.Log.rend() && It->Revision > After; ++It) {
+      for (auto It = S.Log.rbegin(); It != S.Log.rend() && It->Revision > After;
+           ++It) {
         if (!It->Key.starts_with(Prefix)) {
           continue;
         }
-        Events.insert(Events.begin(),
-                      It->Removed ? json{{"key", It->Key},
-                                         {"revision", It->Revision},
-                                         {"removed", true}}
-                                  : Impl::itemJson(It->Key, It->Value));
+        Events.insert(Events.begin(), It->Removed
+                                          ? json{{"key", It->Key},
+                                                 {"revision", It->Revision},
+                                                 {"removed", true}}
+                                          : Impl::itemJson(It->Key, It->Value));
+      }
+      if (Events.empty() && now() >= CutAt) {
+        return Impl::answer(R, 503, json::object());
       }
       if (!Events.empty() || now() >= End || S.Stop) {
         return Impl::answer(R, 200,
@@ -423,9 +450,7 @@
   record("operator: put " + Key);
 }
 
-std::string Store::address() const {
-  return ipText(I->Ip) + ":" + std::to_string(Ports::Store);
-}
+void Store::cutWatchesAfter(double Seconds) { I->WatchLimit = Seconds; }
 
 // Programs.
 
@@ -443,17 +468,47 @@
     kill(Pid, SIGKILL);
     waitpid(Pid, nullptr, 0);
   }
+  StopCollecting = true;
+  if (Collector.joinable()) {
+    Collector.join();
+  }
+}
+
+// Reads the output of the program until it is told to stop.
+void Program::collect(int Pipe) {
+  std::ofstream Log(LogPath, std::ios::app);
+  char Buffer[4096];
+  while (!StopCollecting) {
+    pollfd Ready{Pipe, POLLIN, 0};
+    if (!*CollectorReads || ::poll(&Ready, 1, 50) <= 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      continue;
+    }
+    ssize_t Size = read(Pipe, Buffer, sizeof(Buffer));
+    if (Size <= 0) {
+      break;
+    }
+    Log.write(Buffer, Size);
+  }
+  close(Pipe);
 }
 
 void Program::start() {
   int Parent = getpid();
+  int Pipe[2] = {-1, -1};
+  if (CollectorReads != nullptr && pipe2(Pipe, O_CLOEXEC) != 0) {
+    std::cerr << "cannot create a pipe\n";
+    _exit(2);
+  }
   Pid = fork();
   if (Pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != Parent) {
       _exit(1);
     }
-    int Log = open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    int Log = Pipe[1] >= 0
+                  ? Pipe[1]
+                  : open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(Log, 1);
     dup2(Log, 2);
     execl(Binary.c_str(), Binary.c_str(), "--settings", SettingsPath.c_str(),
@@ -461,6 +516,13 @@
     _exit(127);
   }
   record("platform: start " + Name);
+  if (Pipe[1] >= 0) {
+    close(Pipe[1]);
+    if (Collector.joinable()) {
+      Collector.join();
+    }
+    Collector = std::thread([this, End = Pipe[0]] { collect(End); });
+  }
 }
 
 void Program::signal(int Number) {
@@ -628,9 +690,8 @@
     send(A);
     return;
   }
-  bool IsHeld =
-      It != Flows.end() &&
-      (It->second.IsOpen || P.AckSeq - It->second.MySeq - 1 <= 76800);
+  bool IsHeld = It != Flows.end() &&
+                (It->second.IsOpen || P.AckSeq - It->second.MySeq - 1 <= 76800);
   if (!IsHeld) {
     ++Bounces[Key];
     std::string Back = Bytes;
@@ -753,8 +814,8 @@
   if (Ready.empty()) {
     return;
   }
-  uint32_t Hash = F.Client.Ip * 31 + F.Client.Port + F.Route.Ip * 17 +
-                  F.Route.Port * 13;
+  uint32_t Hash =
+      F.Client.Ip * 31 + F.Client.Port + F.Route.Ip * 17 + F.Route.Port * 13;
   F.LastPacketAt = now();
   sendUdp(Socket, {Ready[Hash % Ready.size()], Ports::Datagram}, encode(P));
 }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -57,17 +57,19 @@
   Endpoint Src, Dst;
   std::string Data;
 };
-std::string encode(Packet P);      // fills in the sum of an end
+std::string encode(Packet P); // fills in the sum of an end
 bool decode(const std::string &Bytes, Packet &Out);
 bool hasValidSum(const Packet &P); // written by one of the two ends
 
 /// The platform's store.
 class Store {
 public:
-  explicit Store(uint32_t Ip);
+  /// Serves up to Threads calls at once, waiting watches included.
+  explicit Store(uint32_t Ip, size_t Threads = 64);
   ~Store();
   void put(const std::string &Key, const std::string &Value);
-  std::string address() const;
+  /// From now on, cuts a watch that has waited this long, with status 503.
+  void cutWatchesAfter(double Seconds);
 
 private:
   struct Impl;
@@ -85,10 +87,18 @@
   /// Waits until it has ended; kills it after Limit seconds.
   bool waitForEnd(double Limit);
   bool isRunning();
+  /// From the next start on, its output goes through a pipe to a collector,
+  /// which writes it to the log file. The collector reads while *Reads is true.
+  void collectOutput(const std::atomic<bool> *Reads) { CollectorReads = Reads; }
 
 private:
+  void collect(int Pipe);
+
   std::string Name, Binary, SettingsPath, LogPath;
   int Pid = -1;
+  const std::atomic<bool> *CollectorReads = nullptr;
+  std::atomic<bool> StopCollecting{false};
+  std::thread Collector;
 };
 
 /// One incarnation of a server beside an agent. Sound: answers each request
