--- a/review/standin-2/case10.cc
+++ b/review/standin-2/case10.cpp
@@ -1,6 +1,6 @@
 // The collector of the processes' standard output pauses.
 
-#include "trial.h"
+#include "trial.hpp"
 
 using namespace review;
 
--- a/review/standin-2/case7.cc
+++ b/review/standin-2/case7.cpp
@@ -2,7 +2,7 @@
 // restarted by planned work. With VARIANT=born it is one of another writer,
 // without the field `born`.
 
-#include "trial.h"
+#include "trial.hpp"
 
 #include <csignal>
 
--- a/review/standin-2/case8.cc
+++ b/review/standin-2/case8.cpp
@@ -1,7 +1,7 @@
 // All processes are killed at once; later, quiet flows are used again while the
 // server beside another agent is down for some seconds.
 
-#include "trial.h"
+#include "trial.hpp"
 
 #include <algorithm>
 
--- a/review/standin-2/case9.cc
+++ b/review/standin-2/case9.cpp
@@ -1,7 +1,7 @@
 // A balancer that has run through the replacement of many machines, one or a
 // few at a time, as planned work. The trial replaces 128 at once to be short.
 
-#include "trial.h"
+#include "trial.hpp"
 
 using namespace review;
 
--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cpp
@@ -1,7 +1,7 @@
 // review-trial CASE RECORD: runs one case; the exit code is 1 if the rule was
 // broken, 0 if it held, 2 if the case couldn't run.
 
-#include "trial.h"
+#include "trial.hpp"
 
 #include <map>
 
--- a/review/standin-2/trial.h
+++ b/review/standin-2/trial.hpp
@@ -4,7 +4,7 @@
 #ifndef REVIEW_STANDIN_2_TRIAL_H
 #define REVIEW_STANDIN_2_TRIAL_H
 
-#include "world.h"
+#include "world.hpp"
 
 #include <csignal>
 #include <cstdio>
--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "world.hpp"
 
 #include <arpa/inet.h>
 #include <chrono>
