--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -129,6 +129,8 @@
   bool holds(const Endpoint &Client, const Endpoint &Route);
   /// Request id to number of runs.
   std::map<std::string, int> runs();
+  /// The number of requests that it ran, by the route of their flow.
+  std::map<Endpoint, int> runsByRoute();
   /// Flows to the number of their packets that were bounced here.
   std::map<std::pair<Endpoint, Endpoint>, int> bounced();
   int invalidPackets() const { return Invalid; }
@@ -137,7 +139,7 @@
 private:
   struct Flow {
     uint32_t MySeq = 0, Next = 0;
-    bool IsOpen = false;
+    bool IsOpen = false, HasEnded = false;
     std::string LastAnswer;
     uint32_t LastAnswerSeq = 0;
   };
@@ -156,6 +158,7 @@
   std::mutex M;
   std::map<std::pair<Endpoint, Endpoint>, Flow> Flows;
   std::map<std::string, int> Runs;
+  std::map<Endpoint, int> RunsByRoute;
   std::map<std::pair<Endpoint, Endpoint>, int> Bounces;
   std::thread Receiver, Beater;
 };
@@ -189,6 +192,8 @@
   Flow open(Endpoint Route);
   /// Sends a request and waits for its answer until Timeout.
   bool request(const Flow &F, const std::string &Id, double Timeout);
+  /// Closes a flow with a FIN; doesn't wait for the server's.
+  void finish(const Flow &F);
   int foreignAnswers() const { return Foreign; }
 
 private:
@@ -196,6 +201,8 @@
   void poll();
   void send(FlowState &F, uint8_t Flags, const std::string &Data,
             uint32_t SynCopy = 0);
+  /// Sends a packet to the node that the router chooses.
+  void route(const Packet &P);
 
   uint32_t Ip;
   int Socket = -1;
