Never wait for the reader of standard output

Cause: log4cxx's console appender writes in the thread that logs. Decisions are logged by the thread that handles all packets, with the node's mutex held. A full pipe made that thread, the health check and the metrics wait.

Change: a thread of its own writes the lines, the others append to a queue that is bounded in bytes and leaves out routine decisions first and failures last. Missing lines are counted in the metrics and reported in the log. Closed standard streams are opened as /dev/null, start failures go to the log, and failures have a limit of lines of their own. The daemons of both interfaces have the same limits.

--- a/bilberry/agent/agent_daemon.cc
+++ b/bilberry/agent/agent_daemon.cc
@@ -62,7 +62,7 @@
     this->Shards->swap(Swap);
   }
   void log(const board::LogDecision &Decision) {
-    log::logAgentDecision(Decision);
+    log::logAgentDecision(this->Node.clock().now(), Decision);
   }
 
 private:
--- a/bilberry/agent/agent_pages.cc
+++ b/bilberry/agent/agent_pages.cc
@@ -1,6 +1,7 @@
 #include "bilberry/agent/agent_pages.h"
 
 #include "bilberry/metrics/exposition.h"
+#include "bilberry/node/log_metrics.h"
 
 #include <nlohmann/json.hpp>
 
@@ -132,6 +133,7 @@
                Status.Links.SentBytes);
   Page.histogram("bilberry_run_seconds", "Latency of requests at the upstream.",
                  RunTimes);
+  node::addLogMetrics(Page);
   return Page.text();
 }
 
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -313,7 +313,7 @@
 void PacketAgent::reset(base::TimePoint Now, const FlowId &Id, HeldFlow &Flow,
                         std::string_view Reason, PacketActions &Out) {
   Out.Resets.push_back({Id, Flow.CallerAcknowledged});
-  Out.Decisions.push_back({"flow-reset", Id, {}, Reason, 0});
+  Out.Decisions.push_back({"flow-reset", Id, {}, Reason, 0, true});
   ++this->Counts.Resets;
   if (Flow.IsAnnounced) {
     this->changesFor(Flow).Ended.push_back(Id);
--- a/bilberry/balancer/balancer_core.cc
+++ b/bilberry/balancer/balancer_core.cc
@@ -13,12 +13,9 @@
   if (Route.Reason == routing::RouteReason::Cached) {
     return;
   }
-  if (Route.To.Port == 0 && !this->DropLogLimiter.allow(Now)) {
-    return;
-  }
   std::string Subject =
       Envelope.Service.text() + "/" + base::addressText(Envelope.Caller);
-  log::logRoutingDecision(Subject, Route);
+  log::logRoutingDecision(Now, Subject, Route);
 }
 
 } // namespace bilberry::balancer
--- a/bilberry/balancer/balancer_core.h
+++ b/bilberry/balancer/balancer_core.h
@@ -6,7 +6,6 @@
 #define BILBERRY_BALANCER_BALANCER_CORE_H
 
 #include "bilberry/balancer/probe_tracker.h"
-#include "bilberry/base/rate_limiter.h"
 #include "bilberry/board/local_member.h"
 #include "bilberry/members/member_table.h"
 #include "bilberry/node/view_exchange.h"
@@ -73,8 +72,9 @@
   template <typename OutputSink>
   void onMemberNotice(base::TimePoint Now, const members::Member &Sender,
                       OutputSink &Out);
-  void logRoute(base::TimePoint Now, const wire::FabricEnvelope &Envelope,
-                const routing::Route &Route);
+  static void logRoute(base::TimePoint Now,
+                       const wire::FabricEnvelope &Envelope,
+                       const routing::Route &Route);
 
   BalancerTables Tables;
   routing::BalancerRouter Router;
@@ -83,7 +83,6 @@
   // Member.
   base::Address OwnData;
   BalancerCounts Counts;
-  base::RateLimiter DropLogLimiter{10};
   std::mutex ProbesMutex;
   ProbeTracker Probes;
 };
@@ -124,7 +123,7 @@
   routing::Route Route = this->Router.route(Now, Envelope.Service,
                                             Envelope.Caller, Packet.value());
   ++this->Counts.Routes[static_cast<size_t>(Route.Reason)];
-  this->logRoute(Now, Envelope, Route);
+  logRoute(Now, Envelope, Route);
   if (Route.To.Port == 0) {
     return;
   }
--- a/bilberry/balancer/balancer_pages.cc
+++ b/bilberry/balancer/balancer_pages.cc
@@ -1,6 +1,7 @@
 #include "bilberry/balancer/balancer_pages.h"
 
 #include "bilberry/metrics/exposition.h"
+#include "bilberry/node/log_metrics.h"
 #include "bilberry/routing/balancer_router.h"
 
 #include <nlohmann/json.hpp>
@@ -61,6 +62,7 @@
   Page.counter("bilberry_peer_bytes_total",
                "Bytes sent to other agents and balancers.",
                Status.Links.SentBytes);
+  node::addLogMetrics(Page);
   return Page.text();
 }
 
--- a/bilberry/node/packet_node.h
+++ b/bilberry/node/packet_node.h
@@ -10,6 +10,7 @@
 #include "bilberry/log/log.h"
 #include "bilberry/metrics/exposition.h"
 #include "bilberry/node/job_thread.h"
+#include "bilberry/node/log_metrics.h"
 #include "bilberry/node/page_client.h"
 #include "bilberry/node/status_server.h"
 #include "bilberry/runtime/packet_io.h"
@@ -28,8 +29,6 @@
 
 namespace bilberry::node {
 
-/// Rate limit of log lines about single flows; suppressed lines are counted.
-inline constexpr uint32_t MaxFlowLogLinesPerSecond = 100;
 /// Rate limit of log lines about malformed input.
 inline constexpr uint32_t MaxMalformedLogLinesPerSecond = 5;
 /// The interval of timer checks; short enough for the shortest timeout.
@@ -170,9 +169,7 @@
   void addMetrics(metrics::Exposition &Page) const {
     Page.counter("bilberry_malformed_total", "Malformed inputs received",
                  this->MalformedInputs);
-    Page.counter("bilberry_log_lines_dropped_total",
-                 "Flow decisions not logged because of the rate limit",
-                 this->SuppressedLogLines);
+    addLogMetrics(Page);
     auto Routes = this->StateCache.current()->Routes;
     Page.gauge("bilberry_route_version", "Version of the active routes",
                Routes ? static_cast<double>(Routes->Version) : 0);
@@ -263,14 +260,10 @@
     }
   }
 
-  // Logs the flow decisions up to the rate limit, and all events.
+  // Logs the flow decisions within their rate limit, and all events.
   void logDecisions(base::TimePoint Now) {
     for (const packet::FlowDecision &Decision : this->Actions.Decisions) {
-      if (this->FlowLogLimiter.allow(Now)) {
-        log::logFlowDecision(Decision);
-      } else {
-        ++this->SuppressedLogLines;
-      }
+      log::logFlowDecision(Now, Decision);
     }
     // Not rate-limited: there are only one or two for each run of an agent.
     for (const std::string &Line : this->Actions.Events) {
@@ -296,9 +289,7 @@
   targets::OperatorWatcher<S> Watcher;
   bool IsFollower;
   targets::CatchUpPolicy DocumentCatchUp;
-  base::RateLimiter FlowLogLimiter{MaxFlowLogLinesPerSecond};
   base::RateLimiter MalformedLogLimiter{MaxMalformedLogLinesPerSecond};
-  std::atomic<uint64_t> SuppressedLogLines{0};
   std::atomic<uint64_t> MalformedInputs{0};
   std::atomic<uint64_t> RefusedDatagrams{0};
   std::mutex Mutex;
--- a/bilberry/packet/packet_actions.h
+++ b/bilberry/packet/packet_actions.h
@@ -52,6 +52,8 @@
   std::string_view Reason;
   /// The route version used for the decision.
   uint64_t RouteVersion = 0;
+  /// The flow is refused or reset, so its caller loses it.
+  bool EndsFlow = false;
 };
 
 /// Collects the actions of one batch. Not thread-safe.
--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -225,7 +225,8 @@
                              Id,
                              {},
                              "no agent holds it",
-                             Ctx.Operators.routeVersion()});
+                             Ctx.Operators.routeVersion(),
+                             true});
     ++this->Counts.Resets;
   } else {
     bool IsAgentSilent = !Entry.PendingAgents.empty();
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -93,7 +93,7 @@
   if (HasEnded) {
     Out.Resets.push_back({It->first, Packet.Acknowledged});
     Out.Decisions.push_back({"flow-reset", It->first, Holder.Data,
-                             "its agent is gone", this->routeVersion()});
+                             "its agent is gone", this->routeVersion(), true});
     ++this->Counts.Resets;
     this->Flows.erase(It);
     return;
@@ -344,7 +344,8 @@
                              Held.Flow,
                              {},
                              "no capacity in time",
-                             this->routeVersion()});
+                             this->routeVersion(),
+                             true});
     ++this->Counts.RefusedEarly;
     return true;
   });
@@ -357,7 +358,7 @@
   this->Flows.erase(Id);
   Out.Resets.push_back({Id, Packet.Acknowledged});
   Out.Decisions.push_back(
-      {"flow-refused", Id, {}, Reason, this->routeVersion()});
+      {"flow-refused", Id, {}, Reason, this->routeVersion(), true});
   ++this->Counts.Refused;
 }
 
--- a/daemons/bilberry_agent.cc
+++ b/daemons/bilberry_agent.cc
@@ -68,7 +68,7 @@
 
   agent::AgentDaemon Daemon(Settings);
   if (base::Result<void> Started = Daemon.start(); !Started) {
-    std::cerr << "bilberry-agent: " << Started.error().Message << "\n";
+    log::error("event=start-failed reason=\"" + Started.error().Message + "\"");
     return settings::ExitFailure;
   }
   std::optional<runtime::StopSignal> Signal;
--- a/daemons/bilberry_balancer.cc
+++ b/daemons/bilberry_balancer.cc
@@ -49,7 +49,7 @@
 
   balancer::BalancerDaemon Daemon(Settings);
   if (base::Result<void> Started = Daemon.start(); !Started) {
-    std::cerr << "bilberry-balancer: " << Started.error().Message << "\n";
+    log::error("event=start-failed reason=\"" + Started.error().Message + "\"");
     return settings::ExitFailure;
   }
   while (!runtime::waitForSignal(runtime::SignalPollInterval)) {
