Check at the agent that a packet is meant for its upstream

Cause: an agent relied on the balancer's choice if the balancer's routes were newer than its own. The choice had been made for the agent that had the address before.

Change: an agent delivers an opening packet only if its own routes allow it. The hop mark names the agent that a packet is meant for, in place of the version of the routes; what is meant for another agent is returned, and the balancer gives the one that lost its address no new flows until its next status. An agent that gets a heartbeat of another service at its upstream's address admits no new flows until the next heartbeat of its own.

The mark's version had no other use than that check and the agents' log lines, which now show the agent's own version.

--- a/bilberry/admission/new_flow_admission.cc
+++ b/bilberry/admission/new_flow_admission.cc
@@ -42,23 +42,15 @@
 }
 
 HopTag NewFlowAdmission::check(const NewFlowContext &Context,
-                               const base::Address &Route,
-                               const packet::HopMark &Mark) {
+                               const base::Address &Route) {
   HopTag Condition = this->refusalReason(Context);
   if (Condition != HopTag::None) {
     return Condition;
   }
-  // The side with the newer routes decides. The signed difference stays
-  // correct when the 32-bit version in the mark wraps around.
-  auto OwnVersion = static_cast<uint32_t>(Context.Operators.Routes->Version);
-  bool BalancerIsNewer =
-      static_cast<int32_t>(Mark.RouteVersion - OwnVersion) > 0;
   const targets::Route *RouteFound = Context.Operators.Routes->find(Route);
-  if (!BalancerIsNewer) {
-    if (!RouteFound ||
-        !RouteFound->allows(Context.Upstream.currentRun()->Service)) {
-      return HopTag::WrongService;
-    }
+  if (!RouteFound ||
+      !RouteFound->allows(Context.Upstream.currentRun()->Service)) {
+    return HopTag::WrongService;
   }
   const targets::ServiceLimits *Rule = findServiceRule(Context);
   bool HasConnections =
@@ -66,7 +58,7 @@
   if (!HasConnections || !hasWaitingCapacity(Context)) {
     return HopTag::Full;
   }
-  if (this->ReservesByPriority && RouteFound) {
+  if (this->ReservesByPriority) {
     this->Reserve.recordArrival(Context.Now, RouteFound->Priority);
     uint32_t PerSlot =
         this->Reserve.waitingFlowsPerSlot(Context.Now, RouteFound->Priority);
--- a/bilberry/admission/new_flow_admission.h
+++ b/bilberry/admission/new_flow_admission.h
@@ -4,7 +4,8 @@
 // flows go only to upstreams of its services are enforced only here.
 // Balancers choose an upstream from state that may be out of date, so their
 // choice is a hint; a refused packet is returned to the balancer, which places
-// it on another upstream.
+// it on another upstream. That holds for routes too: a route that only the
+// balancer knows is used once this process has read it.
 //
 // This protects against all balancers sending new flows to the same upstream
 // at once, right after it has restarted cold or just before it stops.
@@ -91,10 +92,9 @@
         ReservesByPriority(ReservesByPriority) {}
 
   /// Returns None if an opening packet for this route address may be delivered
-  /// to the upstream, otherwise the reason for the refusal. Mark was set by
-  /// the balancer.
+  /// to the upstream, otherwise the reason for the refusal.
   packet::HopTag check(const NewFlowContext &Context,
-                       const base::Address &Route, const packet::HopMark &Mark);
+                       const base::Address &Route);
   /// Returns None if the upstream can accept new flows at all, otherwise the
   /// reason why check() refuses all new flows.
   packet::HopTag refusalReason(const NewFlowContext &Context);
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -37,8 +37,10 @@
 PacketAgent::PacketAgent(AgentIdentity Self, admission::ColdRateLimit Cold,
                          base::TimePoint StartedAt,
                          const targets::OperatorStateCache &StateCache)
-    : Self(std::move(Self)), StartedAt(StartedAt), UnpausedSince(StartedAt),
-      StateCache(StateCache), Operators(StateCache.current()),
+    : Self(std::move(Self)),
+      ReceiverId(packet::receiverId(this->Self.Name, this->Self.Service)),
+      StartedAt(StartedAt), UnpausedSince(StartedAt), StateCache(StateCache),
+      Operators(StateCache.current()),
       Admission(this->Self.DataCentre, Cold, StartedAt,
                 this->Self.Overload.ReservesByPriority),
       Balancers(this->Self.Name, this->Self.DataCentre), NextStatus(StartedAt),
@@ -75,6 +77,16 @@
 
 void PacketAgent::onCallerPacket(base::TimePoint Now, const base::Address &From,
                                  const Packet &Packet, PacketActions &Out) {
+  bool IsMisaddressed =
+      Packet.Mark.Receiver != 0 && Packet.Mark.Receiver != this->ReceiverId;
+  if (IsMisaddressed) {
+    ++this->Counts.Misaddressed;
+    Out.Decisions.push_back({"flow-returned", Packet.flowFromCaller(), From,
+                             packet::hopTagText(HopTag::WrongAgent),
+                             this->Operators->routeVersion()});
+    this->returnPacket(From, Packet, HopTag::WrongAgent, Out);
+    return;
+  }
   if (Packet.opensFlow()) {
     this->onOpening(Now, From, Packet, Out);
     return;
@@ -110,13 +122,13 @@
     ++this->Counts.Dropped;
     Out.Decisions.push_back({"flow-copy-dropped", Id, From,
                              "the flow is open already",
-                             Packet.Mark.RouteVersion});
+                             this->Operators->routeVersion()});
     return;
   }
   HopTag Reason = this->IsStopping
                       ? HopTag::NoUpstream
                       : this->Admission.check(this->openingContext(Now),
-                                              Packet.Destination, Packet.Mark);
+                                              Packet.Destination);
   if (Reason != HopTag::None) {
     // The upstream answers the first copy, so this one isn't needed.
     if (IsCopy) {
@@ -125,7 +137,7 @@
     }
     Out.Decisions.push_back({"flow-returned", Id, From,
                              packet::hopTagText(Reason),
-                             Packet.Mark.RouteVersion});
+                             this->Operators->routeVersion()});
     this->IsCapacityAnnounced = false;
     this->Counts.Reserved += Reason == HopTag::Reserved ? 1 : 0;
     this->returnPacket(From, Packet, Reason, Out);
@@ -141,7 +153,7 @@
     ++this->Counts.Opened;
     Out.Decisions.push_back({"flow-taken", Id, From,
                              this->Upstream.isCold(Now) ? "cold" : "warm",
-                             Packet.Mark.RouteVersion});
+                             this->Operators->routeVersion()});
   }
   this->Admission.recordNewFlow(Now);
   this->deliver(Now, From, Packet, *Known, Out);
@@ -195,7 +207,7 @@
   ++this->Counts.Probes;
   Out.Decisions.push_back({"flow-probed", Packet.flowFromCaller(), From,
                            packet::hopTagText(Packet.Mark.Tag),
-                           Packet.Mark.RouteVersion});
+                           this->Operators->routeVersion()});
   this->deliver(Now, From, Packet, Flow, Out);
 }
 
@@ -220,7 +232,7 @@
   ++this->Counts.Returned;
   Out.Packets.push_back(
       {packet::Receiver::Peer, To, Packet.Bytes,
-       packet::makeHopMark(this->Operators->routeVersion(), Reason), true});
+       packet::markOfReturn(Reason, this->Operators->routeVersion()), true});
 }
 
 // Packets from the upstream.
@@ -345,6 +357,10 @@
   this->detectPause(Now);
   if (!this->isOwnUpstream(Report)) {
     ++this->Counts.ForeignReports;
+    if (this->mayHaveReplacedUpstream(Report)) {
+      this->Admission.recordPause(Now);
+      this->sendStatus(Now, true, Out);
+    }
     return members::HeartbeatOutcome::Foreign;
   }
   bool HadRun = this->Upstream.currentRun().has_value();
@@ -397,6 +413,18 @@
          Report.DataCentre == this->Self.DataCentre;
 }
 
+// True if the report comes from the upstream's address, but for another service
+// of the routes and from a later start: the address may be in use again. Then
+// the upstream gets no new flows until its own next heartbeat.
+bool PacketAgent::mayHaveReplacedUpstream(
+    const members::UpstreamHeartbeat &Report) const {
+  const auto &Routes = this->StateCache.current()->Routes;
+  const auto &Run = this->Upstream.currentRun();
+  return Run && Routes && Report.Address == this->Self.Upstream &&
+         Routes->Services.contains(Report.Service) &&
+         Report.StartedAt > Run->StartedAt;
+}
+
 // True if no earlier run of this process relayed packets of the upstream. Both
 // start times are wall-clock times of the same machine.
 bool PacketAgent::startedBefore(
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -87,6 +87,7 @@
   uint64_t SuspectedRestarts = 0;
   uint64_t Reserved = 0;
   uint64_t BecameUnstable = 0;
+  uint64_t Misaddressed = 0;
 };
 
 /// Not thread-safe: the process guards it with one mutex.
@@ -189,6 +190,7 @@
   void resetFlowsBefore(base::TimePoint Now, base::TimePoint OpenedBefore,
                         std::string_view Reason, packet::PacketActions &Out);
   bool isOwnUpstream(const members::UpstreamHeartbeat &Report) const;
+  bool mayHaveReplacedUpstream(const members::UpstreamHeartbeat &Report) const;
   bool startedBefore(const members::UpstreamHeartbeat &Report) const;
   bool knowsAllFlows(base::TimePoint Now) const;
   base::Duration idleTimeout() const;
@@ -211,6 +213,8 @@
   void sendFlowChanges(wire::AgentStatus Status, packet::PacketActions &Out);
 
   AgentIdentity Self;
+  // packet::receiverId() of this agent.
+  uint32_t ReceiverId;
   base::TimePoint StartedAt;
   // The start of this process or the end of its last pause: no heartbeat has
   // been missed through a pause since then.
--- a/bilberry/agent/packet_agent_process.cc
+++ b/bilberry/agent/packet_agent_process.cc
@@ -37,6 +37,10 @@
                "New flows returned because the remaining capacity is reserved "
                "for routes with a higher priority",
                Counts.Reserved);
+  Page.counter("bilberry_packets_misaddressed_total",
+               "Packets returned because they were meant for another agent, "
+               "which had this address before",
+               Counts.Misaddressed);
   Page.counter("bilberry_upstream_unstable_total",
                "Times that the upstream became unstable",
                Counts.BecameUnstable);
--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -54,6 +54,7 @@
     }
     if (!View.hasStatus()) {
       this->setDataCentre(Index, Value.DataCentre);
+      this->setService(Index, Value.Service);
     }
     if (!View.IsAnnounced) {
       View.LastStatusAt =
@@ -77,6 +78,7 @@
   AgentView &View = this->Views[Index];
   this->Arrivals += View.IsGone || !View.hasStatus() ? 1 : 0;
   IsNewRun = View.Status.Run != Status.Run;
+  this->setService(Index, Status.Service);
   this->setDataCentre(Index, Status.DataCentre);
   this->setAddresses(Index, Status.Data, From);
   View.Status = Status;
@@ -86,6 +88,7 @@
   View.Arrivals.record(Now, Status.AdmittedFlows);
   View.LastStatusAt = Now;
   View.IsGone = false;
+  View.HasLostAddress = false;
   View.NewFlowsSinceStatus = 0;
   View.Placements = {};
   return Index;
@@ -124,6 +127,15 @@
       !this->Local.empty() && !Name.empty() && Name != this->Local;
 }
 
+// An agent without an upstream reports no service; the id then stays.
+void AgentViews::setService(AgentIndex Index, const base::ServiceName &Name) {
+  AgentView &View = this->Views[Index];
+  bool IsKnown = View.ReceiverId != 0 && View.Status.Service == Name;
+  if (!Name.empty() && !IsKnown) {
+    View.ReceiverId = packet::receiverId(View.Name, Name);
+  }
+}
+
 std::vector<AgentIndex> AgentViews::tick(base::TimePoint Now) {
   std::vector<AgentIndex> NewlyGone;
   base::Duration SinceLastTick = Now - this->LastTickAt;
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -84,6 +84,11 @@
   base::TimePoint LastHelloSentAt;
   /// True if the agent is in another data centre than this balancer.
   bool IsFar = false;
+  /// Another agent has received a packet for this one: its address is in use
+  /// again. Until the next status.
+  bool HasLostAddress = false;
+  /// packet::receiverId() of the agent; 0 until its service is known.
+  uint32_t ReceiverId = 0;
 
   /// The recent service time of its upstream; 0 if unknown.
   base::Duration serviceTime() const {
@@ -156,6 +161,7 @@
 private:
   AgentIndex add(const base::MemberName &Name);
   void setDataCentre(AgentIndex Index, const base::DataCentreName &Name);
+  void setService(AgentIndex Index, const base::ServiceName &Name);
   void setAddresses(AgentIndex Index, const base::Address &Data,
                     const base::Address &Control);
 
--- a/bilberry/packet/packet.cc
+++ b/bilberry/packet/packet.cc
@@ -1,5 +1,9 @@
 #include "bilberry/packet/packet.h"
 
+#include <algorithm>
+#include <string>
+#include <xxhash.h>
+
 namespace bilberry::packet {
 
 std::string_view hopTagText(HopTag Tag) {
@@ -30,8 +34,17 @@
     return "shed";
   case HopTag::Reserved:
     return "reserved";
+  case HopTag::WrongAgent:
+    return "wrong-agent";
   }
   return "unknown";
 }
 
+uint32_t receiverId(const base::MemberName &Agent,
+                    const base::ServiceName &Service) {
+  // Names contain no slash.
+  std::string Identity = Agent.text() + "/" + Service.text();
+  return std::max<uint32_t>(1, XXH32(Identity.data(), Identity.size(), 0));
+}
+
 } // namespace bilberry::packet
--- a/bilberry/packet/packet.h
+++ b/bilberry/packet/packet.h
@@ -10,6 +10,7 @@
 #define BILBERRY_PACKET_PACKET_H
 
 #include "bilberry/base/address.h"
+#include "bilberry/base/name.h"
 
 #include <compare>
 #include <concepts>
@@ -54,8 +55,7 @@
 /// Metadata about a packet on a hop between a balancer and an agent.
 enum class HopTag : uint8_t {
   None = 0,
-  /// Balancer to agent: an opening packet. The balancer chose the agent by the
-  /// route version in the mark.
+  /// Balancer to agent: an opening packet.
   Opening = 1,
   /// Balancer to agent: the agent has confirmed that it holds the flow.
   Holder = 2,
@@ -79,6 +79,8 @@
   /// The upstream's remaining capacity is reserved for routes with a higher
   /// priority.
   Reserved = 24,
+  /// The packet is meant for another agent, which had this address before.
+  WrongAgent = 25,
 };
 
 /// Returns the log name of the tag. Never fails.
@@ -87,13 +89,30 @@
 /// Hop metadata stored in header fields that neither endpoint reads. Present
 /// only on hops between balancers and agents.
 struct HopMark {
-  /// The low 32 bits of the route version that the sender used.
-  uint32_t RouteVersion = 0;
   HopTag Tag = HopTag::None;
+  /// Balancer to agent: the receiverId() of the agent that the packet is meant
+  /// for. 0 from a balancer that doesn't know the agent's service, or that is
+  /// of a version without receiver ids.
+  uint32_t Receiver = 0;
+  /// Agent to balancer: the low 32 bits of the agent's route version.
+  uint32_t RouteVersion = 0;
 };
 
-inline HopMark makeHopMark(uint64_t RouteVersion, HopTag Tag) {
-  return {static_cast<uint32_t>(RouteVersion), Tag};
+/// Identifies an agent by its name and the service of its upstream. An address
+/// does not: it may be used again by another VM while balancers still know the
+/// earlier one. Never 0.
+uint32_t receiverId(const base::MemberName &Agent,
+                    const base::ServiceName &Service);
+
+/// Returns the mark of a packet for the agent with that receiverId().
+inline HopMark markForAgent(HopTag Tag, uint32_t Receiver) {
+  return {Tag, Receiver, 0};
+}
+
+/// Returns the mark of a packet that an agent returns. Precondition: Reason is
+/// NotHeld or a later value.
+inline HopMark markOfReturn(HopTag Reason, uint64_t RouteVersion) {
+  return {Reason, 0, static_cast<uint32_t>(RouteVersion)};
 }
 
 /// One parsed datagram. Bytes refers to the receive buffer or to a stored copy
--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -289,7 +289,7 @@
   Out.Packets.push_back(
       {packet::Receiver::Peer, this->Agents.at(Next).Data,
        Out.ownBytes(std::move(First)),
-       packet::makeHopMark(Ctx.Operators.routeVersion(), HopTag::Probe),
+       packet::markForAgent(HopTag::Probe, this->Agents.at(Next).ReceiverId),
        false});
 }
 
@@ -303,7 +303,7 @@
   Out.Decisions.push_back({"flow-found", Id, this->Agents.at(Holder).Data,
                            "confirmed by its agent",
                            Ctx.Operators.routeVersion()});
-  this->sendQueuedPackets(Ctx, It->second, Holder, Out);
+  this->sendQueuedPackets(It->second, Holder, Out);
   this->Searches.erase(It);
 }
 
@@ -327,14 +327,15 @@
 }
 
 // Sends the queued packets to the holder.
-void HolderSearch::sendQueuedPackets(const SearchContext &Ctx, Search &Entry,
-                                     AgentIndex Holder, PacketActions &Out) {
+void HolderSearch::sendQueuedPackets(Search &Entry, AgentIndex Holder,
+                                     PacketActions &Out) {
   for (std::string &Bytes : Entry.Packets) {
     this->QueuedBytes -= Bytes.size();
     Out.Packets.push_back(
         {packet::Receiver::Peer, this->Agents.at(Holder).Data,
          Out.ownBytes(std::move(Bytes)),
-         packet::makeHopMark(Ctx.Operators.routeVersion(), HopTag::Holder),
+         packet::markForAgent(HopTag::Holder,
+                              this->Agents.at(Holder).ReceiverId),
          false});
   }
   Entry.Packets.clear();
--- a/bilberry/routing/holder_search.h
+++ b/bilberry/routing/holder_search.h
@@ -170,8 +170,7 @@
   static bool isProbeLimitReached(const Search &Entry);
   void probeNextAgent(const SearchContext &Ctx, const packet::FlowId &Id,
                       Search &Entry, packet::PacketActions &Out);
-  void sendQueuedPackets(const SearchContext &Ctx, Search &Entry,
-                         members::AgentIndex Holder,
+  void sendQueuedPackets(Search &Entry, members::AgentIndex Holder,
                          packet::PacketActions &Out);
 
   const members::AgentViews &Agents;
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -28,8 +28,11 @@
             StartedAt, Agents),
       Queue(this->Self.Overload.CallersTakeTurns) {}
 
-packet::HopMark PacketRouter::mark(HopTag Tag) const {
-  return packet::makeHopMark(this->routeVersion(), Tag);
+void PacketRouter::sendToAgent(AgentIndex Index, std::span<char> Bytes,
+                               HopTag Tag, PacketActions &Out) const {
+  const AgentView &View = this->Agents.at(Index);
+  Out.Packets.push_back({packet::Receiver::Peer, View.Data, Bytes,
+                         packet::markForAgent(Tag, View.ReceiverId), false});
 }
 
 uint64_t PacketRouter::routeVersion() const {
@@ -108,9 +111,7 @@
   Flow.IsClosing = Flow.IsClosing || Packet.IsFin || Packet.IsReset;
   ++this->Counts.Forwarded;
   HopTag Tag = Flow.IsConfirmed ? HopTag::Holder : HopTag::Probe;
-  Out.Packets.push_back({packet::Receiver::Peer,
-                         this->Agents.at(Flow.Holder).Data, Packet.Bytes,
-                         this->mark(Tag), false});
+  this->sendToAgent(Flow.Holder, Packet.Bytes, Tag, Out);
 }
 
 void PacketRouter::onOpening(base::TimePoint Now, const Packet &Packet,
@@ -131,9 +132,7 @@
       return;
     }
     if (IsDuplicate && !this->Agents.at(Flow.Holder).IsGone) {
-      Out.Packets.push_back({packet::Receiver::Peer,
-                             this->Agents.at(Flow.Holder).Data, Packet.Bytes,
-                             this->mark(HopTag::Opening), false});
+      this->sendToAgent(Flow.Holder, Packet.Bytes, HopTag::Opening, Out);
       return;
     }
     this->Flows.erase(Known);
@@ -196,8 +195,7 @@
   Out.Decisions.push_back({"flow-placed", Id, View.Data,
                            IsNear ? "near" : "elsewhere",
                            this->routeVersion()});
-  Out.Packets.push_back({packet::Receiver::Peer, View.Data, Bytes,
-                         this->mark(HopTag::Opening), false});
+  this->sendToAgent(Chosen, Bytes, HopTag::Opening, Out);
   return true;
 }
 
@@ -368,6 +366,13 @@
   FlowId Id = Packet.flowFromCaller();
   AgentIndex Agent = this->Agents.findByDataAddress(From);
   auto Known = this->Flows.find(Id);
+  bool IsMisaddressed = Packet.Mark.Tag == HopTag::WrongAgent &&
+                        Known != this->Flows.end() &&
+                        this->Agents.at(Known->second.Holder).Data == From;
+  if (IsMisaddressed) {
+    Agent = Known->second.Holder;
+    this->Agents.at(Agent).HasLostAddress = true;
+  }
   bool IsFromHolder =
       Known != this->Flows.end() && Known->second.Holder == Agent;
   if (IsFromHolder) {
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -211,7 +211,8 @@
                          packet::PacketActions &Out);
   base::Duration flowLifetime() const;
   void expireFlows(base::TimePoint Now);
-  packet::HopMark mark(packet::HopTag Tag) const;
+  void sendToAgent(members::AgentIndex Index, std::span<char> Bytes,
+                   packet::HopTag Tag, packet::PacketActions &Out) const;
   uint64_t routeVersion() const;
   void recordFlow(base::TimePoint Now, const packet::FlowId &Id,
                   members::AgentIndex Holder, bool IsConfirmed);
--- a/bilberry/routing/upstream_choice.cc
+++ b/bilberry/routing/upstream_choice.cc
@@ -52,7 +52,7 @@
 }
 
 static bool isEligible(const AgentView &View, const ChoiceRequest &Request) {
-  return !View.IsGone && View.hasStatus() &&
+  return !View.IsGone && View.hasStatus() && !View.HasLostAddress &&
          View.Status.Service == Request.Service &&
          View.Status.Condition == wire::AgentCondition::InService &&
          View.Status.RemainingNewFlows > View.NewFlowsSinceStatus &&
--- a/bilberry/standin/single_route.cc
+++ b/bilberry/standin/single_route.cc
@@ -12,6 +12,7 @@
             Table.Routes[targets::RouteTable::key(Route)].Shares = {
                 {base::ServiceName("rounds"), 1}};
             Table.Services[base::ServiceName("rounds")] = {};
+            Table.Services[base::ServiceName("photos")] = {};
             return Table;
           }};
 }
--- a/bilberry/standin/single_route.h
+++ b/bilberry/standin/single_route.h
@@ -10,7 +10,8 @@
 
 /// Returns a format that ignores the contents of the documents: every document
 /// parses as version 1 of a route table with one route, to the service
-/// "rounds", which has no limits. Thread-safe.
+/// "rounds". The service "photos" has no route; neither has limits.
+/// Thread-safe.
 targets::DocumentFormat singleRouteFormat(const base::Address &Route);
 
 } // namespace bilberry::standin
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -336,6 +336,82 @@
   EXPECT_EQ(Admitted, 5);
 }
 
+// A caller's packet, as a balancer forwards it.
+struct MisaddressedCase {
+  const char *Name;
+  packet::HopTag Tag;
+  const char *Agent;
+  const char *Service;
+  bool IsReturned;
+};
+
+class MisaddressedTest
+    : public PacketAgentTest,
+      public ::testing::WithParamInterface<MisaddressedCase> {};
+
+// A balancer may know an agent that had the address before. Guards against its
+// packets that reach the upstream of another one: opening packets, packets of
+// open flows and probes.
+TEST_P(MisaddressedTest, PacketForAnotherAgentIsReturned) {
+  const MisaddressedCase &Case = this->GetParam();
+  packet::Packet Packet;
+  Packet.Source = {0x64400001, 5000};
+  Packet.Destination = Route;
+  Packet.IsSyn = Case.Tag == packet::HopTag::Opening;
+  Packet.IsAck = !Packet.IsSyn;
+  Packet.DataBytes = 10;
+  Packet.Mark = packet::markForAgent(
+      Case.Tag, packet::receiverId(base::MemberName(Case.Agent),
+                                   base::ServiceName(Case.Service)));
+  this->Out.clear();
+  this->Agent.onCallerPacket(this->Clock.now(), Balancer, Packet, this->Out);
+  ASSERT_EQ(this->Out.Packets.size(), 1U);
+  const packet::SendPacket &Sent = this->Out.Packets.front();
+  EXPECT_EQ(Sent.Kind, Case.IsReturned ? packet::Receiver::Peer
+                                       : packet::Receiver::Upstream);
+  EXPECT_EQ(Sent.Mark.Tag, Case.IsReturned ? packet::HopTag::WrongAgent
+                                           : packet::HopTag::None);
+  EXPECT_EQ(this->Agent.counts().Misaddressed, Case.IsReturned ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Packets, MisaddressedTest,
+    ::testing::Values(
+        MisaddressedCase{"OwnOpening", packet::HopTag::Opening, "agent",
+                         "rounds", false},
+        MisaddressedCase{"OtherAgentsOpening", packet::HopTag::Opening,
+                         "agent-2", "rounds", true},
+        MisaddressedCase{"OtherServicesOpening", packet::HopTag::Opening,
+                         "agent", "photos", true},
+        MisaddressedCase{"OtherAgentsFlow", packet::HopTag::Holder, "agent-2",
+                         "photos", true},
+        MisaddressedCase{"OtherServicesFlow", packet::HopTag::Holder, "agent",
+                         "photos", true},
+        MisaddressedCase{"OtherAgentsProbe", packet::HopTag::Probe, "agent-2",
+                         "rounds", true},
+        MisaddressedCase{"OtherServicesProbe", packet::HopTag::Probe, "agent",
+                         "photos", true}),
+    [](const auto &Info) { return std::string(Info.param.Name); });
+
+// Guards against new flows for an upstream whose address a server of another
+// service uses, before the heartbeats of the upstream count as missing. A
+// heartbeat with an unknown service shows nothing.
+TEST_F(PacketAgentTest, NoOpeningIsAdmittedAfterAHeartbeatOfAnotherService) {
+  members::UpstreamHeartbeat Other = this->Report;
+  Other.Id = "other";
+  Other.StartedAt = this->Report.StartedAt + milliseconds(1);
+  Other.Service = base::ServiceName("no-such-service");
+  this->Agent.onReport(this->Clock.now(), Other, this->Out);
+  EXPECT_EQ(this->sendCallerPacket(1, true, 1, 0), packet::HopTag::None);
+  this->Clock.advance(milliseconds(100));
+  Other.Service = base::ServiceName("photos");
+  this->Agent.onReport(this->Clock.now(), Other, this->Out);
+  EXPECT_EQ(this->sendCallerPacket(2, true, 1, 0), packet::HopTag::NoUpstream);
+  this->Clock.advance(milliseconds(100));
+  this->sendHeartbeat();
+  EXPECT_EQ(this->sendCallerPacket(3, true, 1, 0), packet::HopTag::None);
+}
+
 struct OpeningCase {
   const char *Name;
   bool IsDraining;
