Take only the upstream's own packets for proof that it holds a flow

Cause: flows are then searched for by probing one upstream after the other.

Change: a probed flow stays unproven until the upstream sends a packet on it; until then a returned packet goes back to the search. Further packets are delivered while the upstream shows life, and returned to the balancer while it is silent, which then probes the others.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -16,7 +16,7 @@
 // have been started while this process was running: the first heartbeat fails
 // if this process isn't ready yet.
 static constexpr uint64_t MaxFirstSequence = 2;
-// An upstream without a heartbeat for this long is taken to be gone. The limit
+// An upstream without a heartbeat for this long is silent, or gone. The limit
 // covers two heartbeats; they come from the same machine, and a failed one is
 // retried at once.
 static constexpr base::Duration MaxHeartbeatGap =
@@ -196,14 +196,20 @@
       {packet::Receiver::Upstream, {}, Packet.Bytes, {}, false});
 }
 
-// Delivers the packet to find out whether the upstream holds the flow.
+// Delivers the packet to find out whether the upstream holds the flow. A silent
+// upstream isn't probed, so that the search goes on elsewhere.
 void PacketAgent::probe(base::TimePoint Now, const base::Address &From,
                         const Packet &Packet, PacketActions &Out) {
   bool IsKnown = Packet.Mark.Tag == HopTag::Holder;
+  if (!IsKnown && this->isUpstreamSilent(Now)) {
+    this->returnProbe(From, Packet, HopTag::NoUpstream, Out);
+    return;
+  }
   HeldFlow &Flow =
       this->Flows.start(Now, Packet.flowFromCaller(),
                         IsKnown ? FlowStage::Open : FlowStage::Opening);
   Flow.IsBeingProbed = !IsKnown;
+  Flow.ProbedAt = Now;
   ++this->Counts.Probes;
   Out.Decisions.push_back({"flow-probed", Packet.flowFromCaller(), From,
                            packet::hopTagText(Packet.Mark.Tag),
@@ -211,9 +217,12 @@
   this->deliver(Now, From, Packet, Flow, Out);
 }
 
-// Handles a further packet of a flow that is being probed. The upstream returns
-// packets of unknown flows at once; for a flow that it holds it may send
-// nothing.
+// Handles a further packet of a flow that is being probed. A live upstream
+// returns packets of unknown flows at once, so the flow is probably held if the
+// upstream has sent anything since the last probe: then the packet is delivered
+// as another probe, with those that follow at once, because the upstream may
+// not acknowledge a single one. If the upstream has sent nothing, the search
+// goes on elsewhere.
 void PacketAgent::onPacketDuringProbe(base::TimePoint Now,
                                       const base::Address &From,
                                       const Packet &Packet, HeldFlow &Flow,
@@ -222,11 +231,25 @@
     ++this->Counts.Dropped;
     return;
   }
-  Flow.IsBeingProbed = false;
-  this->Flows.setStage(Flow, FlowStage::Open);
+  if (Now - Flow.ProbedAt >= ProbeTimeout) {
+    if (this->HeardFromUpstreamAt < Flow.ProbedAt) {
+      this->returnProbe(From, Packet, HopTag::Unanswered, Out);
+      return;
+    }
+    Flow.ProbedAt = Now;
+  }
   this->deliver(Now, From, Packet, Flow, Out);
 }
 
+void PacketAgent::returnProbe(const base::Address &From, const Packet &Packet,
+                              HopTag Reason, PacketActions &Out) {
+  ++this->Counts.UnansweredProbes;
+  Out.Decisions.push_back({"flow-returned", Packet.flowFromCaller(), From,
+                           packet::hopTagText(Reason),
+                           this->Operators->routeVersion()});
+  this->returnPacket(From, Packet, Reason, Out);
+}
+
 void PacketAgent::returnPacket(const base::Address &To, const Packet &Packet,
                                HopTag Reason, PacketActions &Out) {
   ++this->Counts.Returned;
@@ -239,6 +262,7 @@
 
 void PacketAgent::onUpstreamPacket(base::TimePoint Now, const Packet &Packet,
                                    PacketActions &Out) {
+  this->HeardFromUpstreamAt = Now;
   if (Packet.IsBounced) {
     this->onBounced(Now, Packet, Out);
     return;
@@ -396,6 +420,7 @@
   case members::HeartbeatOutcome::Known:
     break;
   }
+  this->HeardFromUpstreamAt = Now;
   this->Admission.recordHeartbeat();
   if (this->condition(this->openingContext(Now)) != this->LastSentCondition) {
     this->sendStatus(Now, true, Out);
@@ -542,6 +567,13 @@
   Out.Messages.push_back({{From}, std::move(Answer)});
 }
 
+// True if the upstream has sent neither a packet nor a heartbeat for longer
+// than its heartbeat interval.
+bool PacketAgent::isUpstreamSilent(base::TimePoint Now) const {
+  return Now - std::max(this->UnpausedSince, this->HeardFromUpstreamAt) >
+         MaxHeartbeatGap;
+}
+
 // False while the upstream may hold flows from before this process started. A
 // flow may be dropped after the idle timeout, so once that has passed every
 // open flow has sent a packet through this process. Without heartbeats there is
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -7,7 +7,10 @@
 // packets pass through it. A packet of a flow that the upstream doesn't hold is
 // marked and returned to the balancer that sent it, and is not delivered. After
 // a restart the agent may not know every flow; it then probes by delivering the
-// packet, and the upstream returns it if it doesn't hold the flow.
+// packet, and the upstream returns it if it doesn't hold the flow. Only a
+// packet that the upstream sends on the flow shows that it holds the flow:
+// silence may as well mean that it is down or paused, or that a datagram was
+// lost.
 
 #ifndef BILBERRY_AGENT_PACKET_AGENT_H
 #define BILBERRY_AGENT_PACKET_AGENT_H
@@ -81,6 +84,7 @@
   uint64_t Bounced = 0;
   uint64_t Resets = 0;
   uint64_t Probes = 0;
+  uint64_t UnansweredProbes = 0;
   uint64_t Dropped = 0;
   uint64_t StaleReports = 0;
   uint64_t ForeignReports = 0;
@@ -193,6 +197,9 @@
   bool mayHaveReplacedUpstream(const members::UpstreamHeartbeat &Report) const;
   bool startedBefore(const members::UpstreamHeartbeat &Report) const;
   bool knowsAllFlows(base::TimePoint Now) const;
+  bool isUpstreamSilent(base::TimePoint Now) const;
+  void returnProbe(const base::Address &From, const packet::Packet &Packet,
+                   packet::HopTag Reason, packet::PacketActions &Out);
   base::Duration idleTimeout() const;
   void onBalancerHello(base::TimePoint Now, const base::Address &From,
                        const wire::BalancerHello &Hello,
@@ -225,6 +232,8 @@
   members::UpstreamRecord Upstream;
   admission::ServiceTimeMeter ServiceTime;
   admission::FlapDamping Damping;
+  // When the upstream last sent a packet or a heartbeat.
+  base::TimePoint HeardFromUpstreamAt;
   // The upstream was silent at the last tick.
   bool WasSilent = false;
   routing::HeldFlows Flows;
--- a/bilberry/agent/packet_agent_process.cc
+++ b/bilberry/agent/packet_agent_process.cc
@@ -20,6 +20,10 @@
                "Packets delivered to find out whether the upstream holds their "
                "flow",
                Counts.Probes);
+  Page.counter("bilberry_probes_unanswered_total",
+               "Packets returned because the upstream is silent, so that it "
+               "couldn't be found out whether it holds their flow",
+               Counts.UnansweredProbes);
   Page.counter("bilberry_resets_total", "Flows reset towards their callers",
                Counts.Resets);
   Page.counter("bilberry_packets_dropped_total", "Packets dropped",
--- a/bilberry/packet/packet.cc
+++ b/bilberry/packet/packet.cc
@@ -36,6 +36,8 @@
     return "reserved";
   case HopTag::WrongAgent:
     return "wrong-agent";
+  case HopTag::Unanswered:
+    return "unanswered";
   }
   return "unknown";
 }
--- a/bilberry/packet/packet.h
+++ b/bilberry/packet/packet.h
@@ -60,7 +60,8 @@
   /// Balancer to agent: the agent has confirmed that it holds the flow.
   Holder = 2,
   /// Balancer to agent: the agent may hold the flow. Its upstream returns the
-  /// packet if it doesn't.
+  /// packet if it doesn't. An agent that returns it with NoUpstream has not
+  /// delivered it, because the upstream is silent.
   Probe = 3,
   /// Agent to balancer: the packet is returned for the named reason. Applies to
   /// this and all following values.
@@ -81,6 +82,9 @@
   Reserved = 24,
   /// The packet is meant for another agent, which had this address before.
   WrongAgent = 25,
+  /// The upstream has sent nothing since it was probed with an earlier packet
+  /// of the flow, so it may hold the flow or not.
+  Unanswered = 26,
 };
 
 /// Returns the log name of the tag. Never fails.
--- a/bilberry/routing/held_flows.h
+++ b/bilberry/routing/held_flows.h
@@ -40,8 +40,11 @@
   bool IsAnnounced = false;
   bool CallerHasFinished = false;
   bool UpstreamHasFinished = false;
-  /// The upstream was sent a packet to determine whether it holds the flow.
+  /// The upstream was sent a packet to determine whether it holds the flow, and
+  /// has sent none on it.
   bool IsBeingProbed = false;
+  /// When the first of the last packets was delivered that probe the upstream.
+  base::TimePoint ProbedAt;
   /// The sequence number of the opening packet, if this agent relayed it.
   std::optional<uint32_t> OpeningSequence;
   /// The sequence number of the upstream's response to the opening packet, once
--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -315,11 +315,31 @@
   }
 }
 
-void HolderSearch::onProbeFailed(const FlowId &Id) {
+void HolderSearch::onProbeReturned(const SearchContext &Ctx,
+                                   const Packet &Packet,
+                                   const base::Address &From,
+                                   PacketActions &Out) {
+  FlowId Id = Packet.flowFromCaller();
   auto It = this->Searches.find(Id);
-  if (It != this->Searches.end()) {
+  bool IsSearch = It != this->Searches.end();
+  // With these two reasons the packet has not reached an upstream.
+  bool WasDelivered = Packet.Mark.Tag != HopTag::NoUpstream &&
+                      Packet.Mark.Tag != HopTag::WrongAgent;
+  if (IsSearch && WasDelivered) {
     ++It->second.FailedProbes;
   }
+  bool IsUpstreamSilent = Packet.Mark.Tag == HopTag::NoUpstream ||
+                          Packet.Mark.Tag == HopTag::Unanswered;
+  if (IsSearch && IsUpstreamSilent && It->second.ProbeCandidates.empty()) {
+    // Another round would send the packet to the same upstream at once.
+    Out.Decisions.push_back({"flow-undecided", Id, From,
+                             "an upstream is silent",
+                             Ctx.Operators.routeVersion()});
+    ++this->Counts.Unknown;
+    ++this->Counts.Dropped;
+    return;
+  }
+  this->onUnknownFlowPacket(Ctx, Packet, Out);
 }
 
 std::vector<LocatedFlow> HolderSearch::takeLocated() {
--- a/bilberry/routing/holder_search.h
+++ b/bilberry/routing/holder_search.h
@@ -7,7 +7,9 @@
 // delay, because a flow whose packets are misrouted for seconds counts as a
 // failure. Each agent remembers which flows its upstream has returned, so no
 // upstream is probed twice for a flow. While an agent that may be the holder
-// hasn't replied, at most two upstreams are probed.
+// hasn't replied, at most two upstreams are probed. An upstream that is silent
+// shows nothing: the others are probed, and it is probed again when the caller
+// retransmits its packet.
 //
 // A flow is reset only after every agent that isn't gone has reported twice,
 // UnknownConfirmationDelay apart, that it doesn't hold the flow. A missing
@@ -98,9 +100,10 @@
   void onUnknownFlowPacket(const SearchContext &Ctx,
                            const packet::Packet &Packet,
                            packet::PacketActions &Out);
-  /// Records that a probe has failed: the upstream doesn't hold the flow and
-  /// has returned the packet.
-  void onProbeFailed(const packet::FlowId &Id);
+  /// Handles a packet that an agent has returned after a probe, with Reason:
+  /// probes another upstream, or searches again.
+  void onProbeReturned(const SearchContext &Ctx, const packet::Packet &Packet,
+                       const base::Address &From, packet::PacketActions &Out);
   /// Handles a HolderAnswer, an agent's reply to a query.
   void onAnswer(const SearchContext &Ctx, const wire::HolderAnswer &Answer,
                 packet::PacketActions &Out);
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -379,8 +379,8 @@
     this->Flows.erase(Known);
   }
   if (!Packet.opensFlow()) {
-    this->Search.onProbeFailed(Id);
-    this->search(Now, Packet, Out);
+    this->Search.onProbeReturned(this->searchContext(Now), Packet, From, Out);
+    this->recordLocatedFlows(Now);
     return;
   }
   Placement &Entry = this->Placements[Id];
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -19,7 +19,9 @@
 
 class PacketAgentTest : public ::testing::Test {
 protected:
-  PacketAgentTest()
+  // LastSequence is that of the upstream's last heartbeat before the agent
+  // started.
+  explicit PacketAgentTest(uint64_t LastSequence = 0)
       : StateCache(standin::singleRouteFormat(Route)),
         Agent({base::MemberName("agent"),
                1,
@@ -35,6 +37,7 @@
     this->Report.Address = Upstream;
     this->Report.DataCentre = base::DataCentreName("dc");
     this->Report.Slots = 2;
+    this->Report.Sequence = LastSequence;
     this->sendHeartbeat();
   }
 
@@ -336,6 +339,72 @@
   EXPECT_EQ(Admitted, 5);
 }
 
+// An agent that was restarted while its upstream kept running, so that it has
+// to probe the upstream.
+class ProbingAgentTest : public PacketAgentTest {
+protected:
+  ProbingAgentTest() : PacketAgentTest(10) {
+    this->Clock.advance(milliseconds(10));
+  }
+
+  wire::FlowPresence presence(uint16_t Port) {
+    this->Out.clear();
+    wire::HolderQuery Query;
+    Query.Flows = {{{0x64400001, Port}, Route}};
+    this->Agent.onMessage(this->Clock.now(), Balancer, Query, this->Out);
+    return std::get<wire::HolderAnswer>(this->Out.Messages.back().Message)
+        .Presences.front();
+  }
+};
+
+// An upstream acknowledges every second packet only. Guards against an upload
+// that stands still after a restart, because a single packet is delivered at a
+// time until the upstream has answered.
+TEST_F(ProbingAgentTest, PacketsThatFollowAProbeAreDelivered) {
+  EXPECT_EQ(this->sendCallerPacket(1, false, 2, 1200), packet::HopTag::None);
+  this->Clock.advance(milliseconds(1));
+  EXPECT_EQ(this->sendCallerPacket(1, false, 1202, 1200),
+            packet::HopTag::NotHeld);
+  this->sendHeartbeat();
+  this->Clock.advance(milliseconds(200));
+  for (uint32_t I = 0; I < 16; ++I) {
+    EXPECT_EQ(this->sendCallerPacket(1, false, 2 + (1200 * I), 1200),
+              packet::HopTag::None);
+  }
+  EXPECT_EQ(this->presence(1), wire::FlowPresence::Unsure);
+  this->sendUpstreamPacket(1, false, 5000, 0);
+  EXPECT_EQ(this->presence(1), wire::FlowPresence::Held);
+}
+
+// Guards against flows that are reset because their packets were lost on the
+// way to or from an upstream that doesn't hold them.
+TEST_F(ProbingAgentTest, ProbedFlowIsNeverReset) {
+  EXPECT_EQ(this->sendCallerPacket(1, false, 2, 100), packet::HopTag::None);
+  this->sendHeartbeat();
+  this->Clock.advance(milliseconds(200));
+  EXPECT_EQ(this->sendCallerPacket(1, false, 2, 100), packet::HopTag::None);
+  this->Out.clear();
+  this->returnCallerPacket(1);
+  EXPECT_TRUE(this->Out.Resets.empty());
+  ASSERT_EQ(this->Out.Packets.size(), 1U);
+  EXPECT_EQ(this->Out.Packets.front().Mark.Tag, packet::HopTag::NotHeld);
+  EXPECT_EQ(this->presence(1), wire::FlowPresence::Absent);
+}
+
+// Guards against flows that wait for an upstream that is down or paused while
+// another one holds them.
+TEST_F(ProbingAgentTest, SilentUpstreamIsNotProbedAgain) {
+  EXPECT_EQ(this->sendCallerPacket(1, false, 2, 100), packet::HopTag::None);
+  this->Clock.advance(milliseconds(200));
+  EXPECT_EQ(this->sendCallerPacket(1, false, 2, 100),
+            packet::HopTag::Unanswered);
+  EXPECT_EQ(this->presence(1), wire::FlowPresence::Unsure);
+  this->passTime(milliseconds(3000));
+  EXPECT_EQ(this->sendCallerPacket(2, false, 2, 100),
+            packet::HopTag::NoUpstream);
+  EXPECT_EQ(this->presence(2), wire::FlowPresence::Unsure);
+}
+
 // A caller's packet, as a balancer forwards it.
 struct MisaddressedCase {
   const char *Name;
