Give each importance of log lines a limit of its own

Events of the product's own agents, such as shards taken over, shared the limit with routine decisions.

--- a/bilberry/log/decision_limiter.h
+++ b/bilberry/log/decision_limiter.h
@@ -1,6 +1,5 @@
-// Bounds the log lines about decisions under load. Decisions that break or
-// refuse something have a limit of their own, so that routine ones can't take
-// their place.
+// Bounds the log lines about decisions under load. Each importance has a limit
+// of its own, so that routine lines can't take the place of others.
 
 #ifndef BILBERRY_LOG_DECISION_LIMITER_H
 #define BILBERRY_LOG_DECISION_LIMITER_H
@@ -8,6 +7,7 @@
 #include "bilberry/base/rate_limiter.h"
 #include "bilberry/log/line_queue.h"
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 
@@ -22,9 +22,7 @@
   /// Returns true if a decision of this importance may be logged now; otherwise
   /// counts it as suppressed.
   bool allow(base::TimePoint Now, Importance Rank) {
-    base::RateLimiter &Limiter =
-        Rank == Importance::Failure ? this->Failures : this->Others;
-    bool IsAllowed = Limiter.allow(Now);
+    bool IsAllowed = this->Limiters[static_cast<size_t>(Rank)].allow(Now);
     this->Suppressed += IsAllowed ? 0 : 1;
     return IsAllowed;
   }
@@ -32,8 +30,11 @@
   uint64_t suppressed() const { return this->Suppressed; }
 
 private:
-  base::RateLimiter Failures{MaxDecisionLinesPerSecond};
-  base::RateLimiter Others{MaxDecisionLinesPerSecond};
+  // By Importance.
+  std::array<base::RateLimiter, ImportanceCount> Limiters{
+      base::RateLimiter(MaxDecisionLinesPerSecond),
+      base::RateLimiter(MaxDecisionLinesPerSecond),
+      base::RateLimiter(MaxDecisionLinesPerSecond)};
   std::atomic<uint64_t> Suppressed{0};
 };
 
--- a/bilberry/log/log.h
+++ b/bilberry/log/log.h
@@ -21,8 +21,8 @@
 
 namespace bilberry::log {
 
-/// The memory of lines that wait to be written: half a minute of the lines of a
-/// busy process.
+/// The memory of lines that wait to be written: about 25 s of routine lines at
+/// the limit of DecisionLimiter.
 inline constexpr size_t MaxWaitingBytes = size_t{512} << 10U;
 /// Longer messages are cut to this size.
 inline constexpr size_t MaxMessageBytes = size_t{8} << 10U;
--- a/bilberry/testing/log_test.cc
+++ b/bilberry/testing/log_test.cc
@@ -123,6 +123,7 @@
   }
   EXPECT_FALSE(Limiter.allow(Clock.now(), Importance::Routine));
   EXPECT_TRUE(Limiter.allow(Clock.now(), Importance::Failure));
+  EXPECT_TRUE(Limiter.allow(Clock.now(), Importance::Event));
   EXPECT_EQ(Limiter.suppressed(), MaxDecisionLinesPerSecond + 1);
 }
 
@@ -200,8 +201,8 @@
   EXPECT_LT(std::chrono::steady_clock::now() - Begin, seconds(1));
 }
 
-// Guards against a process that ends or stands still because the reader of its
-// standard output is gone for good.
+// Guards against a process that ends or stands still because the other end of
+// its standard output is closed.
 TEST(LineWriter, CountsLinesThatCannotBeWritten) {
   signal(SIGPIPE, SIG_IGN);
   int Ends[2] = {-1, -1};
