--- a/review/standin-3/small_deployment.py
+++ b/review/standin-3/small_deployment.py
@@ -5,9 +5,9 @@
 """
 
 import base64
+import bisect
 import hashlib
 import http.client
-import http.server
 import json
 import os
 import random
@@ -15,6 +15,7 @@
 import shutil
 import signal
 import socket
+import socketserver
 import struct
 import subprocess
 import sys
@@ -78,45 +79,49 @@
 class Store:
     """The platform's store: keys, leases, watches; all in memory."""
 
-    def __init__(self, address, record):
+    def __init__(self, address):
         self.items, self.leases, self.events = {}, {}, []
         self.revision, self.next_lease = 10, 100
         self.changed = threading.Condition()
-        self.record = record
         store = self
 
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def log_message(self, *_):
-                pass
-
-            def answer(self, status, body):
-                text = json.dumps(body).encode()
-                self.send_response(status)
-                self.send_header("Content-Type", "application/json")
-                self.send_header("Content-Length", str(len(text)))
-                self.end_headers()
-                self.wfile.write(text)
+        class Handler(socketserver.StreamRequestHandler):
+            def handle(self):
+                while self.handle_call():
+                    pass
 
             def handle_call(self):
-                url = urllib.parse.urlsplit(self.path)
-                query = dict(urllib.parse.parse_qsl(url.query))
-                length = int(self.headers.get("Content-Length") or 0)
+                request = self.rfile.readline().split()
+                if len(request) < 2:
+                    return False
+                length, keep = 0, True
+                while True:
+                    line = self.rfile.readline().strip().lower()
+                    if not line:
+                        break
+                    if line.startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                    if line.startswith(b"connection:") and b"close" in line:
+                        keep = False
                 body = json.loads(self.rfile.read(length) or b"{}")
-                self.answer(*store.call(url.path, query, body))
-
-            do_GET = do_POST = do_DELETE = handle_call
-
-        class Server(http.server.ThreadingHTTPServer):
+                path, _, query = request[1].decode().partition("?")
+                status, result = store.call(path, dict(urllib.parse.parse_qsl(query, keep_blank_values=True)), body)
+                text = json.dumps(result).encode()
+                head = "HTTP/1.1 %d -\r\nContent-Type: application/json\r\nContent-Length: %d\r\n" % (
+                    status, len(text))
+                end = "\r\n" if keep else "Connection: close\r\n\r\n"
+                self.wfile.write((head + end).encode() + text)
+                return keep
+
+        class Server(socketserver.ThreadingTCPServer):
             daemon_threads = True
-            request_queue_size = 128
+            allow_reuse_address = True
+            request_queue_size = 1024
 
             def handle_error(self, *_):
                 pass
 
         self.server = Server(address, Handler)
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self.expire, daemon=True).start()
 
     def put(self, key, value, lease=0):
@@ -131,12 +136,6 @@
             self.revision += 1
             self.events.append({"key": key, "revision": self.revision, "removed": True})
 
-    def write_as_operator(self, key, value):
-        with self.changed:
-            self.put(key, base64.b64encode(json.dumps(value).encode()).decode())
-            self.changed.notify_all()
-        self.record.line("operator writes %s" % key)
-
     def end_lease(self, lease):
         self.leases.pop(lease, None)
         for key in [k for k, item in self.items.items() if item["lease"] == lease]:
@@ -147,9 +146,11 @@
             time.sleep(0.1)
             with self.changed:
                 now = time.monotonic()
-                for lease in [l for l, (end, _) in self.leases.items() if end < now]:
+                ended = [l for l, (end, _) in self.leases.items() if end < now]
+                for lease in ended:
                     self.end_lease(lease)
-                self.changed.notify_all()
+                if ended:
+                    self.changed.notify_all()
 
     def call(self, path, query, body):
         name = path.rsplit("/bilberrylb/", 1)[-1]
@@ -166,12 +167,17 @@
                 after, prefix = int(query["after"]), query["prefix"]
                 end = time.monotonic() + int(query["wait_ms"]) / 1000
                 while True:
-                    found = [e for e in self.events
-                             if e["revision"] > after and e["key"].startswith(prefix)]
+                    first = bisect.bisect_right(self.events, after, key=lambda e: e["revision"])
+                    found = [e for e in self.events[first:] if e["key"].startswith(prefix)]
+                    after = self.revision
                     left = end - time.monotonic()
                     if found or left <= 0:
                         return 200, {"events": found, "as_of": self.revision}
                     self.changed.wait(left)
+            if name == "operator":
+                self.put(body["key"], body["value"])
+                self.changed.notify_all()
+                return 200, {}
             if name == "kv-txn":
                 rows = body.get("expect", [])
                 current = [self.items.get(r["key"], {"key": r["key"], "revision": 0}) for r in rows]
@@ -204,6 +210,42 @@
         return 404, {}
 
 
+class StoreProcess:
+    """The store in a process of its own."""
+
+    def __init__(self, address, record):
+        self.address, self.record = address, record
+        self.process = subprocess.Popen(
+            [sys.executable, "-B", os.path.abspath(__file__), address[0], str(address[1])])
+        for _ in range(100):
+            try:
+                self.call("GET", "kv-range?prefix=op/")
+                return
+            except OSError:
+                time.sleep(0.05)
+
+    def call(self, method, path, body=None):
+        call = http.client.HTTPConnection(*self.address, timeout=5)
+        try:
+            call.request(method, "/bilberrylb/" + path, json.dumps(body) if body else None,
+                         {"Connection": "close"})
+            return json.loads(call.getresponse().read())
+        finally:
+            call.close()
+
+    def write_as_operator(self, key, value):
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        self.call("POST", "operator", {"key": key, "value": text})
+        self.record.line("operator writes %s" % key)
+
+    def keys(self, prefix=""):
+        return [item["key"] for item in self.call("GET", "kv-range?prefix=" + prefix)["items"]]
+
+    def close(self):
+        self.process.kill()
+        self.process.wait(10)
+
+
 class Deployment:
     """Machines, settings and processes. Ends all processes in close()."""
 
@@ -218,7 +260,7 @@
         self.callers, self.health, self.control, self.outbound, self.app = range(base, base + 5)
         self.internal = base + 5
         self.store_address = (self.ip(1, 1), base + 8)
-        self.store = Store(self.store_address, self.record)
+        self.store = StoreProcess(self.store_address, self.record)
 
     def ip(self, kind, number):
         """Kinds: 1 store, 2 balancers, 3 agents, 4 clients, 9 routes."""
@@ -293,6 +335,7 @@
         for process in self.processes.values():
             process.kill()
             process.wait(10)
+        self.store.close()
         if os.environ.get("KEEP_LOGS"):
             print(self.temporary)
         else:
@@ -521,3 +564,7 @@
         trouble, {BROKEN: "the rule was broken", HELD: "the rule held"}.get(
             result, "the case couldn't run")), is_last=True)
     os._exit(result)
+
+
+if __name__ == "__main__":
+    Store((sys.argv[1], int(sys.argv[2]))).server.serve_forever()
