--- a/review/standin-3/small_deployment.py
+++ b/review/standin-3/small_deployment.py
@@ -379,8 +379,9 @@
                          % (self.name, seq, self.born, self.state, left, status))
         return status
 
-    def beat_forever(self, interval):
+    def beat_forever(self, interval, first=0.0):
         def run():
+            time.sleep(first)
             while self.alive:
                 self.heartbeat()
                 self.next_beat = time.monotonic() + interval
@@ -439,6 +440,9 @@
         if p.flags & RST:
             self.flows.pop(flow, None)
             return
+        if p.flags & FIN:
+            self.reply(p, state["seq"], (p.seq + 1) & 0xFFFFFFFF, ACK | FIN)
+            return
         if p.data:
             if p.seq == state["next"]:
                 state["next"] = (p.seq + len(p.data)) & 0xFFFFFFFF
@@ -506,6 +510,11 @@
             self.ip, flow["port"], attempt, "answered" if answered else "not answered"))
         return answered
 
+    def close(self, flow):
+        """Closes the flow; its last packets may be lost."""
+        flow["state"] = "closed"
+        self.send(flow, ACK | FIN, flow["seq"], flow["ack"])
+
     def read(self):
         while True:
             raw, sender = self.socket.recvfrom(4096)
