--- a/review/standin-3/small_deployment.py
+++ b/review/standin-3/small_deployment.py
@@ -345,9 +345,9 @@
 class Server:
     """One incarnation of an application server beside an agent."""
 
-    def __init__(self, deployment, ip, service, name, work_s=0.005, cold_s=0.0):
+    def __init__(self, deployment, ip, service, name, work_s=0.005, cold_s=0.0, zone="z1"):
         self.d, self.ip, self.service, self.name = deployment, ip, service, name
-        self.record = deployment.record
+        self.record, self.zone = deployment.record, zone
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
         self.seq, self.state, self.cold_s = 0, "ready", cold_s
@@ -365,7 +365,7 @@
             seq = self.seq
         left = max(0, int((self.cold_s - (time.monotonic() - self.started)) * 1000))
         body = json.dumps({"service": self.service, "address": "%s:%d" % (self.ip, self.d.app),
-                           "zone": "z1", "version": "v1", "slots": 2, "state": self.state,
+                           "zone": self.zone, "version": "v1", "slots": 2, "state": self.state,
                            "warmup_left_ms": left, "seq": seq, "born": self.born})
         status = None
         try:
