--- a/review/standin-3/small_deployment.py
+++ b/review/standin-3/small_deployment.py
@@ -83,6 +83,8 @@
         self.items, self.leases, self.events = {}, {}, []
         self.revision, self.next_lease = 10, 100
         self.changed = threading.Condition()
+        # Rises with each restore from the copy.
+        self.era, self.copy, self.is_away = 1, None, False
         store = self
 
         class Handler(socketserver.StreamRequestHandler):
@@ -105,10 +107,15 @@
                         keep = False
                 body = json.loads(self.rfile.read(length) or b"{}")
                 path, _, query = request[1].decode().partition("?")
-                status, result = store.call(path, dict(urllib.parse.parse_qsl(query, keep_blank_values=True)), body)
+                query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+                era = store.era
+                status, result = store.call(path, query, body)
+                if status is None or (era != store.era and path.endswith("kv-watch")):
+                    # The store is away, or was restored while the watch waited.
+                    return False
                 text = json.dumps(result).encode()
-                head = "HTTP/1.1 %d -\r\nContent-Type: application/json\r\nContent-Length: %d\r\n" % (
-                    status, len(text))
+                head = "HTTP/1.1 %d -\r\nContent-Type: application/json\r\nContent-Length: %d\r\nStore-Era: %d\r\n" % (
+                    status, len(text), store.era)
                 end = "\r\n" if keep else "Connection: close\r\n\r\n"
                 self.wfile.write((head + end).encode() + text)
                 return keep
@@ -136,6 +143,16 @@
             self.revision += 1
             self.events.append({"key": key, "revision": self.revision, "removed": True})
 
+    def restore(self):
+        """Comes back from the copy, without leases."""
+        with self.changed:
+            items, self.revision = json.loads(self.copy[0]), self.copy[1]
+            self.items = {key: item for key, item in items.items() if not item["lease"]}
+            self.leases, self.events = {}, []
+            self.era += 1
+            self.is_away = False
+            self.changed.notify_all()
+
     def end_lease(self, lease):
         self.leases.pop(lease, None)
         for key in [k for k, item in self.items.items() if item["lease"] == lease]:
@@ -155,6 +172,16 @@
     def call(self, path, query, body):
         name = path.rsplit("/bilberrylb/", 1)[-1]
         with self.changed:
+            if name == "copy":
+                self.copy = (json.dumps(self.items), self.revision)
+                return 200, {}
+            if name == "restore":
+                self.is_away = True
+                self.changed.notify_all()
+                threading.Timer(body["away_s"], self.restore).start()
+                return 200, {}
+            if self.is_away:
+                return None, {}
             if name == "kv-key":
                 item = self.items.get(query["key"])
                 return (200, dict(item, as_of=self.revision)) if item else (404, {})
@@ -165,17 +192,24 @@
                              "as_of": self.revision}
             if name == "kv-watch":
                 after, prefix = int(query["after"]), query["prefix"]
+                if after > self.revision:
+                    return 410, {}
                 end = time.monotonic() + int(query["wait_ms"]) / 1000
                 while True:
                     first = bisect.bisect_right(self.events, after, key=lambda e: e["revision"])
                     found = [e for e in self.events[first:] if e["key"].startswith(prefix)]
                     after = self.revision
                     left = end - time.monotonic()
+                    if self.is_away:
+                        return None, {}
                     if found or left <= 0:
                         return 200, {"events": found, "as_of": self.revision}
                     self.changed.wait(left)
             if name == "operator":
-                self.put(body["key"], body["value"])
+                if "value" in body:
+                    self.put(body["key"], body["value"])
+                else:
+                    self.remove(body["key"])
                 self.changed.notify_all()
                 return 200, {}
             if name == "kv-txn":
@@ -238,6 +272,10 @@
         self.call("POST", "operator", {"key": key, "value": text})
         self.record.line("operator writes %s" % key)
 
+    def remove_as_operator(self, key):
+        self.call("POST", "operator", {"key": key})
+        self.record.line("operator removes %s" % key)
+
     def keys(self, prefix=""):
         return [item["key"] for item in self.call("GET", "kv-range?prefix=" + prefix)["items"]]
 
