--- a/review/standin-3/small_deployment.py
+++ b/review/standin-3/small_deployment.py
@@ -311,7 +311,7 @@
                 for port in range(base, base + 10):
                     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                         with socket.socket(socket.AF_INET, kind) as probe:
-                            probe.bind(("0.0.0.0", port))
+                            probe.bind(("127.0.0.1", port))
                 return base
             except OSError:
                 continue
