Don't take a placement for the holder of a flow

Cause: a balancer recorded the agent on which it had placed a flow as its holder. If that agent was lost with the opening packet, a copy could open the flow elsewhere, through another balancer. Once the rotation had moved the flow back, the first balancer sent its packets to the lost agent, and reset the flow when that agent counted as gone.

Change: only the agent's report or its reply to a query makes it the holder. Until then the flow is never reset with the agent. While that is silent, packets are sent to it and searched for; a report that is 1.5 s overdue is asked for, from this agent alone; a copy of an opening packet avoids a silent agent. A wrong placement is thus found by the caller's first retransmission.

--- a/bilberry/balancer/packet_balancer.cc
+++ b/bilberry/balancer/packet_balancer.cc
@@ -45,6 +45,14 @@
                Search.Found);
   Page.counter("bilberry_searches_unknown_total",
                "Searches that found no holder", Search.Unknown);
+  Page.counter("bilberry_holders_asked_total",
+               "Queries to agents that were overdue to report a flow placed "
+               "on them",
+               Counts.HoldersAsked);
+  Page.counter("bilberry_holders_in_doubt_total",
+               "Searches for flows placed on an agent that was silent or gone "
+               "before it reported them",
+               Counts.HoldersInDoubt);
   Page.counter("bilberry_probes_total",
                "Packets sent to an upstream that might hold their flow",
                Search.Probes);
--- a/bilberry/routing/holder_search.h
+++ b/bilberry/routing/holder_search.h
@@ -112,6 +112,10 @@
   void onHolderConfirmed(const SearchContext &Ctx, const packet::FlowId &Id,
                          members::AgentIndex Holder,
                          packet::PacketActions &Out);
+  /// True if the flow is being searched for.
+  bool contains(const packet::FlowId &Id) const {
+    return this->Searches.contains(Id);
+  }
   /// Drops the search for the flow and its queued packets, if there is one.
   void cancel(const packet::FlowId &Id);
   /// Sends the batched queries, at most once per HolderQueryInterval unless a
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -70,6 +70,7 @@
   if (Flow.Holder != Holder) {
     Flow = KnownFlow();
     Flow.PlacedAt = Now;
+    Flow.ReportDueAt = Now + HolderReportTimeout;
   }
   Flow.Holder = Holder;
   Flow.IsConfirmed = IsConfirmed || WasConfirmed;
@@ -89,11 +90,29 @@
     this->search(Now, Packet, Out);
     return;
   }
-  const AgentView &Holder = this->Agents.at(It->second.Holder);
-  bool HasEnded =
-      Holder.IsGone &&
-      !this->Agents.mayStillServe(Now, It->second.Holder, this->flowLifetime());
-  if (HasEnded) {
+  KnownFlow &Flow = It->second;
+  const AgentView &Holder = this->Agents.at(Flow.Holder);
+  bool MayStillServe =
+      this->Agents.mayStillServe(Now, Flow.Holder, this->flowLifetime());
+  switch (decideForward(Now, Flow, Holder, MayStillServe)) {
+  case ForwardDecision::Send:
+    this->forward(Now, Packet, Flow, Out);
+    return;
+  case ForwardDecision::SendAndAsk:
+    this->askHolder(Now, It->first, Flow, Out);
+    this->forward(Now, Packet, Flow, Out);
+    return;
+  case ForwardDecision::SendAndSearch:
+    this->forward(Now, Packet, Flow, Out);
+    this->searchDoubtfulFlow(Now, Packet, Flow.Holder, Out);
+    return;
+  case ForwardDecision::Search: {
+    AgentIndex AssumedHolder = Flow.Holder;
+    this->Flows.erase(It);
+    this->searchDoubtfulFlow(Now, Packet, AssumedHolder, Out);
+    return;
+  }
+  case ForwardDecision::Reset:
     Out.Resets.push_back({It->first, Packet.Acknowledged});
     Out.Decisions.push_back({"flow-reset", It->first, Holder.Data,
                              "its agent is gone", this->routeVersion(), true});
@@ -101,7 +120,35 @@
     this->Flows.erase(It);
     return;
   }
-  this->forward(Now, Packet, It->second, Out);
+}
+
+// Asks the assumed holder alone: a lost report must not cost a query to every
+// agent.
+void PacketRouter::askHolder(base::TimePoint Now, const FlowId &Id,
+                             KnownFlow &Flow, PacketActions &Out) {
+  Flow.IsHolderAsked = true;
+  Flow.ReportDueAt = Now + HolderAnswerTimeout;
+  ++this->Counts.HoldersAsked;
+  const AgentView &Holder = this->Agents.at(Flow.Holder);
+  Out.Messages.push_back({{Holder.Control}, wire::HolderQuery{{Id}}});
+  Out.Decisions.push_back({"flow-unconfirmed", Id, Holder.Data,
+                           "its agent hasn't reported it",
+                           this->routeVersion()});
+}
+
+void PacketRouter::searchDoubtfulFlow(base::TimePoint Now, const Packet &Packet,
+                                      AgentIndex AssumedHolder,
+                                      PacketActions &Out) {
+  FlowId Id = Packet.flowFromCaller();
+  if (!this->Search.contains(Id)) {
+    const AgentView &Holder = this->Agents.at(AssumedHolder);
+    ++this->Counts.HoldersInDoubt;
+    Out.Decisions.push_back(
+        {"flow-unconfirmed", Id, Holder.Data,
+         Holder.IsGone ? "its agent is gone" : "its agent is silent",
+         this->routeVersion()});
+  }
+  this->search(Now, Packet, Out);
 }
 
 void PacketRouter::forward(base::TimePoint Now, const Packet &Packet,
@@ -131,8 +178,13 @@
       ++this->Counts.Dropped;
       return;
     }
-    if (IsDuplicate && !this->Agents.at(Flow.Holder).IsGone) {
-      this->sendToAgent(Flow.Holder, Packet.Bytes, HopTag::Opening, Out);
+    const AgentView &Holder = this->Agents.at(Flow.Holder);
+    if (IsDuplicate && !Holder.IsGone) {
+      bool IsPlacedAgain = isHolderInDoubt(Now, Flow, Holder) &&
+                           this->placeCopy(Now, Packet, Out);
+      if (!IsPlacedAgain) {
+        this->sendToAgent(Flow.Holder, Packet.Bytes, HopTag::Opening, Out);
+      }
       return;
     }
     this->Flows.erase(Known);
@@ -140,6 +192,19 @@
   this->placeFlow(Now, Packet, Out);
 }
 
+// Sends a copy of an opening packet to the best upstream. Returns false if none
+// has capacity.
+bool PacketRouter::placeCopy(base::TimePoint Now, const Packet &Packet,
+                             PacketActions &Out) {
+  this->Operators = this->StateCache.current();
+  const targets::Route *Route =
+      this->Operators->Routes
+          ? this->Operators->Routes->find(Packet.Destination)
+          : nullptr;
+  return Route && this->tryPlace(Now, Packet.flowFromCaller(), Packet.Bytes,
+                                 *Route, Out);
+}
+
 // Sends a new flow to the best upstream that hasn't refused it, queues it, or
 // refuses it.
 void PacketRouter::placeFlow(base::TimePoint Now, const Packet &Packet,
@@ -429,6 +494,33 @@
   }
 }
 
+// Applies the replies of assumed holders that were asked.
+void PacketRouter::onHolderAnswer(base::TimePoint Now,
+                                  const wire::HolderAnswer &Answer) {
+  AgentIndex Agent = this->Agents.findByName(Answer.Name);
+  for (size_t I = 0; I < Answer.Flows.size(); ++I) {
+    auto It = this->Flows.find(Answer.Flows[I]);
+    bool IsReply = It != this->Flows.end() && It->second.Holder == Agent &&
+                   It->second.IsHolderAsked;
+    if (!IsReply) {
+      continue;
+    }
+    KnownFlow &Flow = It->second;
+    Flow.IsHolderAsked = false;
+    Flow.ReportDueAt = Now + HolderReportTimeout;
+    switch (Answer.Presences[I]) {
+    case wire::FlowPresence::Held:
+      Flow.IsConfirmed = true;
+      break;
+    case wire::FlowPresence::Absent:
+      this->Flows.erase(It);
+      break;
+    case wire::FlowPresence::Unsure:
+      break;
+    }
+  }
+}
+
 // Messages from agents.
 
 void PacketRouter::applyAnnouncements(
@@ -442,6 +534,7 @@
   if (const auto *Status = std::get_if<wire::AgentStatus>(&Message)) {
     this->onStatus(Now, From, *Status, Out);
   } else if (const auto *Answer = std::get_if<wire::HolderAnswer>(&Message)) {
+    this->onHolderAnswer(Now, *Answer);
     this->Search.onAnswer(this->searchContext(Now), *Answer, Out);
     this->recordLocatedFlows(Now);
   } else if (const auto *Passed = std::get_if<wire::PassedStatuses>(&Message)) {
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -5,9 +5,10 @@
 // An opening packet is sent to the agent of the selected upstream. If that
 // agent returns it, the next one is tried, until one accepts it or none is
 // left; then the caller is sent a reset immediately. Any other packet is sent
-// to the agent that holds its flow, which is known from the placement, from the
-// agents' statuses, or from a search (HolderSearch). If that agent is gone, the
-// caller is sent a reset.
+// to the agent that holds its flow. That agent is assumed from the placement,
+// and known from the agents' statuses and replies or from a search
+// (HolderSearch). If a known holder is gone, the caller is sent a reset; if an
+// assumed one is silent or gone, the flow is searched for (known_flow.h).
 
 #ifndef BILBERRY_ROUTING_PACKET_ROUTER_H
 #define BILBERRY_ROUTING_PACKET_ROUTER_H
@@ -18,6 +19,7 @@
 #include "bilberry/members/agent_views.h"
 #include "bilberry/packet/packet_actions.h"
 #include "bilberry/routing/holder_search.h"
+#include "bilberry/routing/known_flow.h"
 #include "bilberry/routing/peer_balancers.h"
 #include "bilberry/routing/placement_options.h"
 #include "bilberry/routing/upstream_choice.h"
@@ -35,10 +37,6 @@
 /// agent: announced agents reply to its hello, and agents that knew its
 /// previous run still send it their status.
 inline constexpr base::Duration AgentDiscoveryTime = std::chrono::seconds(1);
-/// How long a placement is retained. Callers retransmit an opening packet
-/// within this time.
-inline constexpr base::Duration PlacementLifetime =
-    std::chrono::milliseconds(1500);
 /// Interval between hello messages to an agent of the same data centre, or to
 /// one that is silent.
 inline constexpr base::Duration HelloInterval = std::chrono::seconds(1);
@@ -94,6 +92,10 @@
   uint64_t NoRoute = 0;
   uint64_t Resets = 0;
   uint64_t Dropped = 0;
+  /// Queries to agents that were overdue to report a flow.
+  uint64_t HoldersAsked = 0;
+  /// Searches for flows whose assumed holder was silent or gone.
+  uint64_t HoldersInDoubt = 0;
 };
 
 /// Not thread-safe: the process calls it under one lock.
@@ -147,17 +149,6 @@
   const wire::DocumentsVersion &newsHeard() const { return this->NewsHeard; }
 
 private:
-  /// A flow whose holder is known or assumed.
-  struct KnownFlow {
-    members::AgentIndex Holder = members::NoAgent;
-    /// The agent has confirmed that it holds the flow.
-    bool IsConfirmed = false;
-    /// Only the opening packet has been received so far.
-    bool IsOpening = false;
-    bool IsClosing = false;
-    base::TimePoint LastPacketAt;
-    base::TimePoint PlacedAt;
-  };
   /// The placement state of a flow that an agent returned or that was queued.
   struct Placement {
     TriedAgents Tried;
@@ -173,6 +164,8 @@
                  packet::PacketActions &Out);
   void placeFlow(base::TimePoint Now, const packet::Packet &Packet,
                  packet::PacketActions &Out);
+  bool placeCopy(base::TimePoint Now, const packet::Packet &Packet,
+                 packet::PacketActions &Out);
   bool tryPlace(base::TimePoint Now, const packet::FlowId &Id,
                 std::span<char> Bytes, const targets::Route &Route,
                 packet::PacketActions &Out);
@@ -187,6 +180,12 @@
   void refuseQueuedOpenings(base::TimePoint Now, packet::PacketActions &Out);
   void forward(base::TimePoint Now, const packet::Packet &Packet,
                KnownFlow &Flow, packet::PacketActions &Out);
+  void askHolder(base::TimePoint Now, const packet::FlowId &Id, KnownFlow &Flow,
+                 packet::PacketActions &Out);
+  void searchDoubtfulFlow(base::TimePoint Now, const packet::Packet &Packet,
+                          members::AgentIndex AssumedHolder,
+                          packet::PacketActions &Out);
+  void onHolderAnswer(base::TimePoint Now, const wire::HolderAnswer &Answer);
   void search(base::TimePoint Now, const packet::Packet &Packet,
               packet::PacketActions &Out);
   SearchContext searchContext(base::TimePoint Now) const;
