Keep flows beyond a cut that opened after the agent's last status

Callers would see living flows reset by a balancer that is cut off from their upstream's data centre, if that upstream had no open flow before the cut.

Cause: mayStillServe() took the agent's last status for proof that it holds no flow, although that is older than the cut and flows may open through a third data centre.

--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -170,13 +170,14 @@
                                base::Duration FlowLifetime) const {
   const AgentView &View = this->Views[Index];
   bool IsExpired = Now - View.LastStatusAt > FlowLifetime;
-  if (!View.IsGone || !View.hasStatus() || View.Status.Flows == 0 ||
-      IsExpired) {
+  if (!View.IsGone || !View.hasStatus() || IsExpired) {
     return false;
   }
-  bool WasStopped = View.Status.Condition == wire::AgentCondition::Stopping;
-  bool IsUnreachable =
-      View.IsFar && !this->Reachable.contains(View.Status.DataCentre);
+  bool WasStopped = View.Status.Condition == wire::AgentCondition::Stopping &&
+                    View.Status.Flows > 0;
+  // Flows may have opened since the last status, unless it had no upstream.
+  bool IsUnreachable = View.IsFar && !View.hasNoFlows() &&
+                       !this->Reachable.contains(View.Status.DataCentre);
   return WasStopped || IsUnreachable;
 }
 
