Notice a brief restart by the opening packets that were left out

Cause: before its first heartbeat, a restart was noticed by a returned packet of a lost flow, or after 0.4 s without any packet. Neither came: no flow was open, and the first answer of the new run came sooner, which ended the wait for the unanswered opening packets.

Evidence: PacketFlow/ShortOutageTest, 16 of 30 cases failed with the code before (the others have few new flows, flows under way, or a restarted agent, and held); all pass now.

Change: an upstream on the agent's machine answers opening packets at once and in order, so one that is answered before an earlier one shows that the earlier one was lost, and the upstream counts as cold until its heartbeat. A lost datagram looks the same; a packet on a flow held before it rules the restart out. A copy of an opening packet that is answered with another sequence number shows a restart, too.

--- a/bilberry/admission/new_flow_admission.cc
+++ b/bilberry/admission/new_flow_admission.cc
@@ -74,21 +74,19 @@
          Now - *this->UnansweredSince > MaxResponseDelay;
 }
 
-bool NewFlowAdmission::recordPacketReceived(base::TimePoint Now,
-                                            UpstreamEvidence Evidence) {
-  bool ShowsRestart =
-      Evidence == UpstreamEvidence::LostFlow ||
-      (Evidence == UpstreamEvidence::Inconclusive && this->hasTimedOut(Now));
+SuspicionChange NewFlowAdmission::recordPacketReceived(
+    base::TimePoint Now, UpstreamEvidence Evidence,
+    std::optional<base::TimePoint> HeldSince) {
+  bool IsAfterSilence = this->hasTimedOut(Now);
   this->UnansweredSince.reset();
-  bool IsNewSuspicion = ShowsRestart && !this->IsRestartSuspected;
-  this->IsRestartSuspected = this->IsRestartSuspected || ShowsRestart;
-  return IsNewSuspicion;
+  return this->Restarts.recordPacket(Evidence, IsAfterSilence, HeldSince);
 }
 
 // An upstream may turn cold while its data centre is evacuated, so it is
 // treated as cold from the end of the evacuation until its next heartbeat.
 bool NewFlowAdmission::isCold(const NewFlowContext &Context) const {
-  return this->IsRestartSuspected || Context.Upstream.isCold(Context.Now) ||
+  return this->Restarts.isRestartSuspected() ||
+         Context.Upstream.isCold(Context.Now) ||
          Context.Upstream.lastHeartbeatAt() < this->EvacuationEndedAt;
 }
 
@@ -120,7 +118,11 @@
                     [&](base::TimePoint At) { return At > Begin; }));
 }
 
-void NewFlowAdmission::recordNewFlow(base::TimePoint Now) {
+void NewFlowAdmission::recordNewFlow(base::TimePoint Now,
+                                     const packet::FlowId &Flow, bool IsCopy) {
+  if (!IsCopy) {
+    this->Restarts.recordOpening(Now, Flow);
+  }
   this->NewFlowTimes[this->NextNewFlowIndex] = Now;
   this->NextNewFlowIndex = (this->NextNewFlowIndex + 1) % MaxRecordedNewFlows;
   this->recordPacketSent(Now);
--- a/bilberry/admission/new_flow_admission.h
+++ b/bilberry/admission/new_flow_admission.h
@@ -12,14 +12,14 @@
 //
 // An upstream that was restarted answers packets before it sends its first
 // heartbeat. Until then the last heartbeat describes the run before, which may
-// have been warm. So an upstream that returns packets of flows that it held, or
-// that answers only new flows after a silence, counts as cold until its next
-// heartbeat.
+// have been warm. So an upstream whose packets show a restart (RestartDetector)
+// counts as cold until its next heartbeat.
 
 #ifndef BILBERRY_ADMISSION_NEW_FLOW_ADMISSION_H
 #define BILBERRY_ADMISSION_NEW_FLOW_ADMISSION_H
 
 #include "bilberry/admission/capacity_reserve.h"
+#include "bilberry/admission/restart_detector.h"
 #include "bilberry/base/clock.h"
 #include "bilberry/members/upstream_record.h"
 #include "bilberry/packet/packet.h"
@@ -50,17 +50,6 @@
 inline constexpr base::Duration MaxResponseDelay =
     std::chrono::milliseconds(400);
 
-/// What a packet from the upstream shows about its current run.
-enum class UpstreamEvidence : uint8_t {
-  /// Belongs to an open flow: the run that opened the flow is still running.
-  HoldsFlow,
-  /// May come from any run, such as the answer to an opening packet.
-  Inconclusive,
-  /// Returned as unknown although the upstream held the flow: the upstream has
-  /// been restarted.
-  LostFlow,
-};
-
 /// The input of an admission decision. References are valid for one call.
 struct NewFlowContext {
   base::TimePoint Now;
@@ -105,19 +94,30 @@
   /// process can have admitted flows to it, so ColdRateWindow is not waited
   /// for.
   void recordFirstHeartbeat() { this->StartedAt -= ColdRateWindow; }
-  /// Records that an opening packet was delivered to the upstream.
-  void recordNewFlow(base::TimePoint Now);
+  /// Records that an opening packet was delivered to the upstream. IsCopy tells
+  /// whether an earlier copy of it was delivered before.
+  void recordNewFlow(base::TimePoint Now, const packet::FlowId &Flow,
+                     bool IsCopy);
   /// Records that a packet that requires a response was delivered to the
   /// upstream.
   void recordPacketSent(base::TimePoint Now);
   /// Records a heartbeat, which describes the upstream's current run.
   void recordHeartbeat() {
     this->UnansweredSince.reset();
-    this->IsRestartSuspected = false;
+    this->Restarts.recordHeartbeat();
+  }
+  /// Records that the upstream has answered or returned an opening packet.
+  /// Returns what that shows, for recordPacketReceived().
+  UpstreamEvidence recordOpeningAnswer(base::TimePoint Now,
+                                       const packet::FlowId &Flow) {
+    return this->Restarts.recordOpeningAnswer(Now, Flow);
   }
-  /// Records a packet from the upstream. Returns true if the upstream counts as
-  /// cold from now until its next heartbeat.
-  bool recordPacketReceived(base::TimePoint Now, UpstreamEvidence Evidence);
+  /// Records a packet from the upstream. HeldSince is when the upstream first
+  /// sent a packet on its flow. While a restart is suspected, the upstream
+  /// counts as cold.
+  SuspicionChange
+  recordPacketReceived(base::TimePoint Now, UpstreamEvidence Evidence,
+                       std::optional<base::TimePoint> HeldSince = {});
   /// The number of new flows that may still be admitted in this window;
   /// unlimited for a warm upstream.
   uint32_t remainingNewFlows(const NewFlowContext &Context) const;
@@ -146,7 +146,7 @@
   bool WasDataCentreEvacuated = false;
   base::TimePoint EvacuationEndedAt;
   std::optional<base::TimePoint> UnansweredSince;
-  bool IsRestartSuspected = false;
+  RestartDetector Restarts;
   base::TimePoint PausedUntil;
 };
 
--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -155,7 +155,7 @@
                              this->Upstream.isCold(Now) ? "cold" : "warm",
                              this->Operators->routeVersion()});
   }
-  this->Admission.recordNewFlow(Now);
+  this->Admission.recordNewFlow(Now, Id, KeepsRecord);
   this->deliver(Now, From, Packet, *Known, Out);
 }
 
@@ -273,12 +273,13 @@
     Flow = &this->Flows.start(
         Now, Id, Packet.IsSyn ? FlowStage::Opening : FlowStage::Open);
   }
-  this->recordEvidence(Now,
-                       Packet.IsSyn ? admission::UpstreamEvidence::Inconclusive
-                                    : admission::UpstreamEvidence::HoldsFlow,
-                       Out);
+  this->recordEvidence(Now, this->evidenceOf(Now, Packet, *Flow),
+                       Flow->FirstUpstreamPacketAt, Out);
   Flow->LastPacketAt = Now;
   Flow->LastUpstreamPacketAt = Now;
+  if (!Flow->FirstUpstreamPacketAt) {
+    Flow->FirstUpstreamPacketAt = Now;
+  }
   Flow->IsBeingProbed = false;
   if (Packet.IsSyn) {
     Flow->UpstreamSequence = Packet.Sequence;
@@ -307,10 +308,11 @@
   // The upstream may discard a flow that has been idle for longer.
   bool WasHeld = Flow && Flow->Stage == FlowStage::Open &&
                  Now - Flow->LastUpstreamPacketAt < this->idleTimeout();
-  this->recordEvidence(Now,
-                       WasHeld ? admission::UpstreamEvidence::LostFlow
-                               : admission::UpstreamEvidence::Inconclusive,
-                       Out);
+  admission::UpstreamEvidence Evidence =
+      Packet.opensFlow() ? this->Admission.recordOpeningAnswer(Now, Id)
+                         : admission::UpstreamEvidence::Inconclusive;
+  this->recordEvidence(
+      Now, WasHeld ? admission::UpstreamEvidence::LostFlow : Evidence, {}, Out);
   bool IsFlowEnded = !Flow || Flow->Stage == FlowStage::Ending ||
                      Flow->Stage == FlowStage::Absent;
   if (IsFlowEnded) {
@@ -333,17 +335,52 @@
   this->returnPacket(Balancer, Packet, Reason, Out);
 }
 
+// What a packet that the upstream sent on the flow shows about its run.
+admission::UpstreamEvidence PacketAgent::evidenceOf(base::TimePoint Now,
+                                                    const Packet &Packet,
+                                                    const HeldFlow &Flow) {
+  if (!Packet.IsSyn) {
+    return admission::UpstreamEvidence::HoldsFlow;
+  }
+  admission::UpstreamEvidence Evidence =
+      this->Admission.recordOpeningAnswer(Now, Packet.flowFromUpstream());
+  // A run answers each copy of an opening packet with the same number.
+  bool IsAnsweredAnew = Flow.Stage == FlowStage::Opening &&
+                        Flow.UpstreamSequence &&
+                        *Flow.UpstreamSequence != Packet.Sequence;
+  return IsAnsweredAnew ? admission::UpstreamEvidence::LostFlow : Evidence;
+}
+
+static std::string_view evidenceText(admission::UpstreamEvidence Evidence) {
+  switch (Evidence) {
+  case admission::UpstreamEvidence::HoldsFlow:
+    return "it holds an earlier flow";
+  case admission::UpstreamEvidence::Inconclusive:
+    return "it answered after a silence";
+  case admission::UpstreamEvidence::SkippedOpening:
+    return "it left out an opening packet";
+  case admission::UpstreamEvidence::LostFlow:
+    return "it lost a flow";
+  }
+  return "";
+}
+
 void PacketAgent::recordEvidence(base::TimePoint Now,
                                  admission::UpstreamEvidence Evidence,
+                                 std::optional<base::TimePoint> HeldSince,
                                  PacketActions &Out) {
-  if (this->Admission.recordPacketReceived(Now, Evidence)) {
-    ++this->Counts.SuspectedRestarts;
-    Out.Events.push_back(
-        std::string("event=upstream-restart-suspected reason=\"") +
-        (Evidence == admission::UpstreamEvidence::LostFlow
-             ? "it lost an open flow\""
-             : "it answered after a silence\""));
+  admission::SuspicionChange Change =
+      this->Admission.recordPacketReceived(Now, Evidence, HeldSince);
+  if (Change == admission::SuspicionChange::None) {
+    return;
   }
+  bool IsRaised = Change == admission::SuspicionChange::Raised;
+  ++(IsRaised ? this->Counts.SuspectedRestarts
+              : this->Counts.WithdrawnSuspicions);
+  Out.Events.push_back(
+      std::string(IsRaised ? "event=upstream-restart-suspected reason=\""
+                           : "event=upstream-restart-ruled-out reason=\"") +
+      std::string(evidenceText(Evidence)) + "\"");
 }
 
 void PacketAgent::reset(base::TimePoint Now, const FlowId &Id, HeldFlow &Flow,
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -89,6 +89,7 @@
   uint64_t StaleReports = 0;
   uint64_t ForeignReports = 0;
   uint64_t SuspectedRestarts = 0;
+  uint64_t WithdrawnSuspicions = 0;
   uint64_t Reserved = 0;
   uint64_t BecameUnstable = 0;
   uint64_t Misaddressed = 0;
@@ -186,7 +187,11 @@
                     packet::HopTag Reason, packet::PacketActions &Out);
   void onBounced(base::TimePoint Now, const packet::Packet &Packet,
                  packet::PacketActions &Out);
+  admission::UpstreamEvidence evidenceOf(base::TimePoint Now,
+                                         const packet::Packet &Packet,
+                                         const routing::HeldFlow &Flow);
   void recordEvidence(base::TimePoint Now, admission::UpstreamEvidence Evidence,
+                      std::optional<base::TimePoint> HeldSince,
                       packet::PacketActions &Out);
   void reset(base::TimePoint Now, const packet::FlowId &Id,
              routing::HeldFlow &Flow, std::string_view Reason,
--- a/bilberry/agent/packet_agent_process.cc
+++ b/bilberry/agent/packet_agent_process.cc
@@ -37,6 +37,11 @@
                "Times that the upstream's packets showed a restart before its "
                "heartbeats did",
                Counts.SuspectedRestarts);
+  Page.counter(
+      "bilberry_upstream_restarts_ruled_out_total",
+      "Times that such a suspicion was withdrawn, because the upstream "
+      "sent a packet on a flow that it held before",
+      Counts.WithdrawnSuspicions);
   Page.counter("bilberry_flows_reserved_total",
                "New flows returned because the remaining capacity is reserved "
                "for routes with a higher priority",
--- a/bilberry/routing/held_flows.h
+++ b/bilberry/routing/held_flows.h
@@ -59,6 +59,9 @@
   base::Address Balancer;
   base::TimePoint OpenedAt;
   base::TimePoint LastPacketAt;
+  /// When the upstream first sent a packet of the flow, if this agent has
+  /// relayed one.
+  std::optional<base::TimePoint> FirstUpstreamPacketAt;
   /// When the upstream last sent a packet of the flow; the epoch if this agent
   /// hasn't relayed one.
   base::TimePoint LastUpstreamPacketAt;
