Keep the time of the first lost opening while a restart is suspected

Cause: a second loss during a suspicion moved the time that decides which flows rule a restart out, so that a flow of the new run could withdraw a true suspicion. Found by reading; RestartDetectorTest LaterLossDoesNotMoveTheFirst shows it.

--- a/bilberry/admission/restart_detector.cc
+++ b/bilberry/admission/restart_detector.cc
@@ -32,7 +32,10 @@
   if (First == this->Unanswered.end()) {
     return UpstreamEvidence::Inconclusive;
   }
-  this->SkippedSince = First->SentAt;
+  // A further loss while a restart is suspected says nothing about the first.
+  if (!this->IsRestartSuspected) {
+    this->SkippedSince = First->SentAt;
+  }
   std::erase_if(this->Unanswered, IsSkipped);
   return UpstreamEvidence::SkippedOpening;
 }
--- a/bilberry/admission/restart_detector.h
+++ b/bilberry/admission/restart_detector.h
@@ -51,8 +51,8 @@
 /// may answer in another order.
 inline constexpr base::Duration OpeningOrderTolerance =
     std::chrono::milliseconds(10);
-/// How long an opening packet counts as unanswered. Callers give up after 1.4
-/// s.
+/// How long an opening packet counts as unanswered. Callers give up after
+/// 1.4 s.
 inline constexpr base::Duration UnansweredOpeningLifetime =
     std::chrono::milliseconds(1500);
 /// The maximum number of opening packets that are tracked; the oldest are
@@ -77,7 +77,8 @@
                                std::optional<base::TimePoint> HeldSince);
   /// Records a heartbeat, which describes the upstream's current run.
   void recordHeartbeat() { this->IsRestartSuspected = false; }
-  /// True from the first evidence of a restart until the next heartbeat.
+  /// True from the first evidence of a restart until the next heartbeat, or
+  /// until the suspicion is withdrawn.
   bool isRestartSuspected() const { return this->IsRestartSuspected; }
 
 private:
@@ -89,7 +90,8 @@
   // In the order in which they were sent.
   std::deque<Opening> Unanswered;
   bool IsRestartSuspected = false;
-  // When the first of the skipped opening packets was sent.
+  // When the first of the opening packets was sent whose loss raised the
+  // suspicion.
   base::TimePoint SkippedSince;
   // Only skipped opening packets support the suspicion.
   bool IsRefutable = false;
