Probe the agent that a search has found as before

Cause: the rule for assumed holders also took flows that a search had just located. After a loss of all processes a balancer may have an agent's reply before its status, so the agent counted as silent, and each further packet of the flow probed another upstream.

The cases FoundBeforeItsStatus and FoundAndProbedForLong of ForwardDecisionTest show the rule.

--- a/bilberry/routing/known_flow.cc
+++ b/bilberry/routing/known_flow.cc
@@ -2,6 +2,17 @@
 
 namespace bilberry::routing {
 
+// True if the assumed holder hasn't been heard for longer than a status takes.
+// Its reply to a search counts, too: after a restart, a balancer may not have
+// its status yet.
+static bool isSilent(base::TimePoint Now, const KnownFlow &Flow,
+                     const members::AgentView &Holder) {
+  base::Duration MaxAge =
+      Holder.IsFar ? members::MaxFarStatusAge : members::MaxStatusAge;
+  bool HasJustReplied = Flow.IsFromSearch && Now - Flow.PlacedAt <= MaxAge;
+  return !HasJustReplied && !Holder.hasRecentStatus(Now);
+}
+
 ForwardDecision decideForward(base::TimePoint Now, const KnownFlow &Flow,
                               const members::AgentView &Holder,
                               bool MayStillServe) {
@@ -12,8 +23,8 @@
   if (HasEnded) {
     return ForwardDecision::Search;
   }
-  bool IsOverdue = Now >= Flow.ReportDueAt;
-  if (!Holder.hasRecentStatus(Now) || (IsOverdue && Flow.IsHolderAsked)) {
+  bool IsOverdue = !Flow.IsFromSearch && Now >= Flow.ReportDueAt;
+  if (isSilent(Now, Flow, Holder) || (IsOverdue && Flow.IsHolderAsked)) {
     return ForwardDecision::SendAndSearch;
   }
   return IsOverdue ? ForwardDecision::SendAndAsk : ForwardDecision::Send;
@@ -21,7 +32,7 @@
 
 bool isHolderInDoubt(base::TimePoint Now, const KnownFlow &Flow,
                      const members::AgentView &Holder) {
-  return !Flow.IsConfirmed && !Holder.hasRecentStatus(Now);
+  return !Flow.IsConfirmed && isSilent(Now, Flow, Holder);
 }
 
 } // namespace bilberry::routing
--- a/bilberry/routing/known_flow.h
+++ b/bilberry/routing/known_flow.h
@@ -7,7 +7,8 @@
 // holder: the list of flows in its status, or its reply to a query. Until then
 // the placement is an assumption, on which no flow is reset. Agents report a
 // flow within about half a second after it opened. If a report is overdue, the
-// agent is asked; if it is silent, the flow is searched for at all agents.
+// agent is asked; if it is silent, the flow is searched for at all agents. An
+// agent that a search has found is probed first: it may not know the flow.
 //
 // Designed for the loss of a data centre while flows open, and for balancers
 // that join or leave meanwhile, so that most flows move between balancers.
@@ -38,6 +39,9 @@
   /// Only the opening packet has been received so far.
   bool IsOpening = false;
   bool IsClosing = false;
+  /// The assumed holder was found by a search: when the flow was recorded, it
+  /// had just replied that its upstream may hold the flow.
+  bool IsFromSearch = false;
   /// The assumed holder was asked whether it holds the flow and hasn't replied.
   bool IsHolderAsked = false;
   base::TimePoint LastPacketAt;
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -491,6 +491,9 @@
 void PacketRouter::recordLocatedFlows(base::TimePoint Now) {
   for (const LocatedFlow &Flow : this->Search.takeLocated()) {
     this->recordFlow(Now, Flow.Id, Flow.Holder, Flow.IsConfirmed);
+    if (auto It = this->Flows.find(Flow.Id); It != this->Flows.end()) {
+      It->second.IsFromSearch = true;
+    }
   }
 }
 
--- a/bilberry/testing/known_flow_test.cc
+++ b/bilberry/testing/known_flow_test.cc
@@ -18,6 +18,7 @@
   bool IsGone;
   bool MayStillServe;
   ForwardDecision Expected;
+  bool IsFromSearch = false;
 };
 
 class ForwardDecisionTest : public ::testing::TestWithParam<ForwardCase> {};
@@ -33,6 +34,8 @@
   KnownFlow Flow;
   Flow.IsConfirmed = Case.IsConfirmed;
   Flow.IsHolderAsked = Case.IsHolderAsked;
+  Flow.IsFromSearch = Case.IsFromSearch;
+  Flow.PlacedAt = Now - Case.SincePlacement;
   Flow.ReportDueAt = Now - Case.SincePlacement + HolderReportTimeout;
   EXPECT_EQ(decideForward(Now, Flow, Holder, Case.MayStillServe),
             Case.Expected);
@@ -40,36 +43,44 @@
 
 INSTANTIATE_TEST_SUITE_P(
     KnownFlow, ForwardDecisionTest,
-    ::testing::Values(ForwardCase{"JustPlaced", false, milliseconds(3),
-                                  milliseconds(100), false, false, false,
-                                  ForwardDecision::Send},
-                      ForwardCase{"ReportIsOverdue", false, milliseconds(1500),
-                                  milliseconds(100), false, false, false,
-                                  ForwardDecision::SendAndAsk},
-                      ForwardCase{"ReplyIsOverdue", false, milliseconds(1700),
-                                  milliseconds(100), true, false, false,
-                                  ForwardDecision::SendAndSearch},
-                      ForwardCase{"AssumedHolderIsSilent", false,
-                                  milliseconds(3), milliseconds(1200), false,
-                                  false, false, ForwardDecision::SendAndSearch},
-                      ForwardCase{"AssumedHolderIsGone", false, milliseconds(3),
-                                  milliseconds(5100), false, true, false,
-                                  ForwardDecision::Search},
-                      ForwardCase{"AssumedHolderIsOutOfReach", false,
-                                  milliseconds(3), milliseconds(5100), false,
-                                  true, true, ForwardDecision::SendAndSearch},
-                      ForwardCase{"Confirmed", true, milliseconds(9000),
-                                  milliseconds(100), false, false, false,
-                                  ForwardDecision::Send},
-                      ForwardCase{"HolderIsSilent", true, milliseconds(9000),
-                                  milliseconds(1200), false, false, false,
-                                  ForwardDecision::Send},
-                      ForwardCase{"HolderIsGone", true, milliseconds(9000),
-                                  milliseconds(5100), false, true, false,
-                                  ForwardDecision::Reset},
-                      ForwardCase{"HolderIsOutOfReach", true,
-                                  milliseconds(9000), milliseconds(5100), false,
-                                  true, true, ForwardDecision::Send}),
+    ::testing::Values(
+        ForwardCase{"JustPlaced", false, milliseconds(3), milliseconds(100),
+                    false, false, false, ForwardDecision::Send},
+        ForwardCase{"ReportIsOverdue", false, milliseconds(1500),
+                    milliseconds(100), false, false, false,
+                    ForwardDecision::SendAndAsk},
+        ForwardCase{"ReplyIsOverdue", false, milliseconds(1700),
+                    milliseconds(100), true, false, false,
+                    ForwardDecision::SendAndSearch},
+        ForwardCase{"AssumedHolderIsSilent", false, milliseconds(3),
+                    milliseconds(1200), false, false, false,
+                    ForwardDecision::SendAndSearch},
+        ForwardCase{"FoundBeforeItsStatus", false, milliseconds(300),
+                    milliseconds(3000), false, false, false,
+                    ForwardDecision::Send, true},
+        ForwardCase{"FoundAndProbedForLong", false, milliseconds(1700),
+                    milliseconds(100), false, false, false,
+                    ForwardDecision::Send, true},
+        ForwardCase{"FoundAndSilentSince", false, milliseconds(1200),
+                    milliseconds(3000), false, false, false,
+                    ForwardDecision::SendAndSearch, true},
+        ForwardCase{"AssumedHolderIsGone", false, milliseconds(3),
+                    milliseconds(5100), false, true, false,
+                    ForwardDecision::Search},
+        ForwardCase{"AssumedHolderIsOutOfReach", false, milliseconds(3),
+                    milliseconds(5100), false, true, true,
+                    ForwardDecision::SendAndSearch},
+        ForwardCase{"Confirmed", true, milliseconds(9000), milliseconds(100),
+                    false, false, false, ForwardDecision::Send},
+        ForwardCase{"HolderIsSilent", true, milliseconds(9000),
+                    milliseconds(1200), false, false, false,
+                    ForwardDecision::Send},
+        ForwardCase{"HolderIsGone", true, milliseconds(9000),
+                    milliseconds(5100), false, true, false,
+                    ForwardDecision::Reset},
+        ForwardCase{"HolderIsOutOfReach", true, milliseconds(9000),
+                    milliseconds(5100), false, true, true,
+                    ForwardDecision::Send}),
     [](const auto &Info) { return std::string(Info.param.Name); });
 
 } // namespace
