Compare the balancers' lists of agents, and reset a flow only if the list was whole

Cause: a balancer that doesn't follow the store learns of a new agent from one message, which is neither acknowledged nor repeated; and a search took its list of agents for whole once the store had ever been followed, also while following was suspended.

Change: messages between the balancers of a data centre carry a digest of the sender's list of agents. One that differs from a follower's asks for the difference. A search resets a flow only if a balancer that follows the store had the same list after the search began, and no other balancer lists an agent that is missing here; otherwise the packet is dropped and searched for again. A balancer counts as a follower only once it has listed the announcements since it last resumed following.

--- a/bilberry/balancer/packet_balancer.cc
+++ b/bilberry/balancer/packet_balancer.cc
@@ -2,7 +2,7 @@
 
 namespace bilberry::balancer {
 
-void addRouterMetrics(const routing::PacketRouter &Router,
+void addRouterMetrics(base::TimePoint Now, const routing::PacketRouter &Router,
                       metrics::Exposition &Page) {
   const routing::PacketRouterCounts &Counts = Router.counts();
   const routing::SearchCounts &Search = Router.searchCounts();
@@ -45,6 +45,23 @@
                Search.Found);
   Page.counter("bilberry_searches_unknown_total",
                "Searches that found no holder", Search.Unknown);
+  Page.counter("bilberry_searches_unconfirmed_total",
+               "Searches that found no holder while the list of agents wasn't "
+               "known to be whole",
+               Search.Unconfirmed);
+  Page.gauge("bilberry_agent_list_confirmed",
+             "1 if the list of agents is known to be whole, else 0",
+             Router.isListConfirmed(Now) ? 1 : 0);
+  const routing::ListExchangeCounts &Lists = Router.listCounts();
+  Page.counter("bilberry_agent_list_differences_total",
+               "Queries to balancers whose list of agents differed",
+               Lists.Differences);
+  Page.counter("bilberry_agent_list_confirmations_total",
+               "Queries to balancers whether the list of agents is whole",
+               Lists.Confirmations);
+  Page.counter("bilberry_agents_missing_total",
+               "Agents that another balancer listed and that were missing here",
+               Lists.MissingAgents);
   Page.counter("bilberry_holders_asked_total",
                "Queries to agents that were overdue to report a flow placed "
                "on them",
--- a/bilberry/balancer/packet_balancer.h
+++ b/bilberry/balancer/packet_balancer.h
@@ -30,7 +30,7 @@
 inline constexpr base::Duration MembersSilenceLimit = std::chrono::seconds(20);
 
 /// Adds a router's metrics to a page.
-void addRouterMetrics(const routing::PacketRouter &Router,
+void addRouterMetrics(base::TimePoint Now, const routing::PacketRouter &Router,
                       metrics::Exposition &Page);
 
 /// One balancer process. Call run() from the main thread.
@@ -147,8 +147,8 @@
     this->Node.setFollower(MustFollow);
     this->rereadMembersAfterBrokenWatch();
     this->Router.onTick(Now,
-                        MustFollow && !this->Watcher.isStoreDown() &&
-                            this->Node.isStoreUp(),
+                        MustFollow && this->AreMembersCurrent &&
+                            this->Watcher.isCurrent() && this->Node.isStoreUp(),
                         this->Node.actions());
     this->flushLocked(Now);
     return this->Router.newsHeard();
@@ -165,6 +165,8 @@
 
   void updateMembers(base::TimePoint Now) {
     this->Watcher.tick(Now);
+    // Before the table is read, which may change at any time.
+    this->AreMembersCurrent = this->Watcher.isCurrent();
     std::vector<members::Member> Announced = this->Members.all();
     std::erase_if(Announced, [this](const members::Member &Value) {
       return this->Members.isSilent(Value.Name);
@@ -188,7 +190,7 @@
     metrics::Exposition Page;
     this->Node.addMetrics(Page);
     std::lock_guard Lock(this->Node.mutex());
-    addRouterMetrics(this->Router, Page);
+    addRouterMetrics(this->Node.now(), this->Router, Page);
     return Page.text();
   }
 
@@ -202,6 +204,8 @@
   members::MemberTable Members;
   members::MemberWatcher<S, base::BootClock> Watcher;
   base::TimePoint MembersReadAt;
+  // The members last passed to the router were up to date.
+  bool AreMembersCurrent = false;
   bool IsFollowingSuspended = false;
   uint64_t HandledBrokenWatches = 0;
   std::unique_ptr<SocketSet> Sockets;
--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -1,5 +1,7 @@
 #include "bilberry/members/agent_views.h"
 
+#include "bilberry/routing/rendezvous.h"
+
 #include <algorithm>
 
 namespace bilberry::members {
@@ -16,7 +18,9 @@
     return NoAgent;
   }
   auto Index = static_cast<AgentIndex>(this->Views.size());
-  this->Views.emplace_back().Name = Name;
+  AgentView &View = this->Views.emplace_back();
+  View.Name = Name;
+  View.NameHash = routing::memberHash(Name);
   this->IndexByName.emplace(Name, Index);
   return Index;
 }
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -62,6 +62,8 @@
 /// The state of one agent as known to a balancer.
 struct AgentView {
   base::MemberName Name;
+  /// routing::memberHash() of the name.
+  uint64_t NameHash = 0;
   /// UDP address for callers' packets.
   base::Address Data;
   /// UDP address for messages between balancers and agents.
@@ -146,6 +148,15 @@
   /// long an open flow may be idle.
   bool mayStillServe(base::TimePoint Now, AgentIndex Index,
                      base::Duration FlowLifetime) const;
+  /// True if the agent's upstream may hold flows: the agent isn't gone or may
+  /// still serve, and its last status doesn't rule it out. Balancers compare
+  /// their lists of these agents.
+  bool mayHoldFlows(base::TimePoint Now, AgentIndex Index,
+                    base::Duration FlowLifetime) const {
+    return !this->Views[Index].hasNoFlows() &&
+           (!this->Views[Index].IsGone ||
+            this->mayStillServe(Now, Index, FlowLifetime));
+  }
 
   AgentView &at(AgentIndex Index) { return this->Views[Index]; }
   const AgentView &at(AgentIndex Index) const { return this->Views[Index]; }
--- a/bilberry/members/member_watcher.h
+++ b/bilberry/members/member_watcher.h
@@ -66,6 +66,12 @@
     return this->Tracker.isStoreDown();
   }
 
+  /// True if the table is up to date: the store is available, and its changes
+  /// are being watched since they were last listed.
+  bool isCurrent() const {
+    return this->Announcements.isCurrent() && !this->isStoreDown();
+  }
+
   /// The number of announcements that could not be parsed.
   uint64_t malformedEntries() const {
     std::lock_guard Lock(this->Mutex);
--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -74,6 +74,7 @@
   Entry.IsAwaitingReplies = true;
   Entry.AllReplied = false;
   Entry.HasReport = false;
+  Entry.UnconfirmedSince.reset();
   Entry.RoundStartedAt = Ctx.Now;
   Entry.LastQueriedAt = Ctx.Now;
   Entry.PendingAgents.clear();
@@ -215,24 +216,28 @@
   }
   // A flow is reset only after two rounds, so that messages in flight during
   // the first one have arrived.
-  bool IsHeldByNone =
-      Entry.AllReplied && Ctx.KnowsAllAgents &&
-      Entry.ArrivalsAtStart == this->Agents.arrivals() &&
+  bool IsSecondRound =
       Entry.RoundStartedAt - Entry.SearchStartedAt >= UnknownConfirmationDelay;
-  if (IsHeldByNone) {
-    Out.Resets.push_back({Id, Entry.LastAcknowledged});
-    Out.Decisions.push_back({"flow-reset",
-                             Id,
-                             {},
-                             "no agent holds it",
-                             Ctx.Operators.routeVersion(),
-                             true});
-    ++this->Counts.Resets;
+  bool IsListKnown = isListConfirmed(Ctx, Entry);
+  if (Entry.AllReplied && !IsListKnown) {
+    this->LatestUnconfirmed =
+        std::max(this->LatestUnconfirmed.value_or(Entry.SearchStartedAt),
+                 Entry.SearchStartedAt);
+  }
+  if (this->wereAllAsked(Entry) && IsSecondRound && IsListKnown) {
+    this->concludeHeldByNone(Ctx, Id, Entry, Out);
   } else {
     bool IsAgentSilent = !Entry.PendingAgents.empty();
-    std::string_view Reason = IsAgentSilent      ? "an agent is silent"
-                              : Entry.AllReplied ? "asked once"
-                                                 : "no agent is known";
+    bool IsUnconfirmed = this->wereAllAsked(Entry) && IsSecondRound;
+    if (IsUnconfirmed) {
+      Entry.UnconfirmedSince = Ctx.Now;
+      ++this->Counts.Unconfirmed;
+    }
+    std::string_view Reason = IsAgentSilent       ? "an agent is silent"
+                              : !Entry.AllReplied ? "no agent is known"
+                              : IsUnconfirmed
+                                  ? "the list of agents isn't confirmed"
+                                  : "asked once";
     Out.Decisions.push_back(
         {"flow-undecided", Id,
          IsAgentSilent ? this->Agents.at(Entry.PendingAgents.front()).Data
@@ -243,6 +248,32 @@
   this->dropQueuedPackets(Entry);
 }
 
+// True if all agents that are listed now have replied in the last round.
+bool HolderSearch::wereAllAsked(const Search &Entry) const {
+  return Entry.AllReplied && Entry.ArrivalsAtStart == this->Agents.arrivals();
+}
+
+// True if the list of agents was whole after the search began, so that it
+// included the holder of every flow that was open then.
+bool HolderSearch::isListConfirmed(const SearchContext &Ctx,
+                                   const Search &Entry) {
+  return Ctx.ListConfirmedAt && *Ctx.ListConfirmedAt >= Entry.SearchStartedAt;
+}
+
+void HolderSearch::concludeHeldByNone(const SearchContext &Ctx,
+                                      const FlowId &Id, Search &Entry,
+                                      PacketActions &Out) {
+  Entry.UnconfirmedSince.reset();
+  Out.Resets.push_back({Id, Entry.LastAcknowledged});
+  Out.Decisions.push_back({"flow-reset",
+                           Id,
+                           {},
+                           "no agent holds it",
+                           Ctx.Operators.routeVersion(),
+                           true});
+  ++this->Counts.Resets;
+}
+
 // Sorts by increasing likelihood of being the holder. Agents of the route's
 // service are more likely than others; among equals, agents in this data centre
 // are.
@@ -346,6 +377,10 @@
   return std::exchange(this->Located, {});
 }
 
+std::optional<base::TimePoint> HolderSearch::takeUnconfirmed() {
+  return std::exchange(this->LatestUnconfirmed, std::nullopt);
+}
+
 // Sends the queued packets to the holder.
 void HolderSearch::sendQueuedPackets(Search &Entry, AgentIndex Holder,
                                      PacketActions &Out) {
@@ -373,6 +408,15 @@
                Ctx.Now - Entry.SearchStartedAt >= UnknownConfirmationDelay) {
       // Starts the second round without waiting for the caller's next packet.
       this->startRound(Ctx, It->first, Entry);
+    } else if (Entry.UnconfirmedSince) {
+      bool IsCurrent =
+          this->wereAllAsked(Entry) &&
+          Ctx.Now - *Entry.UnconfirmedSince <= ListConfirmationTimeout;
+      if (!IsCurrent) {
+        Entry.UnconfirmedSince.reset();
+      } else if (isListConfirmed(Ctx, Entry)) {
+        this->concludeHeldByNone(Ctx, It->first, Entry, Out);
+      }
     }
     if (Ctx.Now - Entry.LastPacketAt > SearchLifetime) {
       this->dropQueuedPackets(Entry);
--- a/bilberry/routing/holder_search.h
+++ b/bilberry/routing/holder_search.h
@@ -12,11 +12,13 @@
 // retransmits its packet.
 //
 // A flow is reset only after every agent that isn't gone has reported twice,
-// UnknownConfirmationDelay apart, that it doesn't hold the flow. A missing
-// reply costs the caller a retransmission; a wrong reset costs the flow. If an
-// agent is heard for the first time, or again, during a round, another round
-// follows. An agent that is gone but may still have a serving upstream
-// (AgentViews::mayStillServe) counts as one that hasn't replied.
+// UnknownConfirmationDelay apart, that it doesn't hold the flow, and only if
+// the list of agents was whole after the search began (AgentListExchange).
+// Otherwise its packets are dropped, and the next one is searched for again. A
+// missing reply costs the caller a retransmission; a wrong reset costs the
+// flow. If an agent is heard for the first time, or again, during a round,
+// another round follows. An agent that is gone but may still have a serving
+// upstream (AgentViews::mayStillServe) counts as one that hasn't replied.
 //
 // Designed for the load after a complete power failure: each packet of an
 // existing flow starts a search at every balancer while some agents are not yet
@@ -30,6 +32,7 @@
 #include "bilberry/packet/packet_actions.h"
 #include "bilberry/targets/operator_state_cache.h"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -54,6 +57,10 @@
 /// flow is reset. Callers retransmit a packet after 200 ms.
 inline constexpr base::Duration UnknownConfirmationDelay =
     std::chrono::milliseconds(150);
+/// How long after a round the confirmation that the list of agents was whole
+/// may still come. After that, another round is needed.
+inline constexpr base::Duration ListConfirmationTimeout =
+    std::chrono::seconds(1);
 /// How long a search is retained after its last packet.
 inline constexpr base::Duration SearchLifetime = std::chrono::seconds(4);
 
@@ -61,8 +68,8 @@
 struct SearchContext {
   base::TimePoint Now;
   const targets::OperatorState &Operators;
-  /// True once every running agent has had time to send a status.
-  bool KnowsAllAgents = false;
+  /// The latest time at which the list of agents was whole, if that is known.
+  std::optional<base::TimePoint> ListConfirmedAt;
   /// How long a flow without packets may still be open.
   base::Duration FlowLifetime = std::chrono::seconds(60);
 };
@@ -86,6 +93,9 @@
   uint64_t Probes = 0;
   uint64_t Resets = 0;
   uint64_t Dropped = 0;
+  /// Rounds after which the flow wasn't reset only because the list of agents
+  /// wasn't known to be whole.
+  uint64_t Unconfirmed = 0;
 };
 
 /// All searches of one balancer. Not thread-safe.
@@ -126,6 +136,9 @@
   /// Returns and clears the flows whose packets go to another agent since the
   /// last call: flows with a confirmed holder and flows that are being probed.
   std::vector<LocatedFlow> takeLocated();
+  /// Returns and clears the start of the latest search that has found no
+  /// holder, but not whether the list of agents is whole.
+  std::optional<base::TimePoint> takeUnconfirmed();
 
   const SearchCounts &counts() const { return this->Counts; }
 
@@ -157,6 +170,9 @@
     bool HasReport = false;
     /// Every agent has replied in this round.
     bool AllReplied = false;
+    /// When a round ended after which the flow would be reset if the list of
+    /// agents were known to be whole.
+    std::optional<base::TimePoint> UnconfirmedSince;
     uint32_t LastAcknowledged = 0;
   };
 
@@ -170,6 +186,10 @@
                      Search &Entry, packet::PacketActions &Out);
   void finishRound(const SearchContext &Ctx, const packet::FlowId &Id,
                    Search &Entry, packet::PacketActions &Out);
+  void concludeHeldByNone(const SearchContext &Ctx, const packet::FlowId &Id,
+                          Search &Entry, packet::PacketActions &Out);
+  bool wereAllAsked(const Search &Entry) const;
+  static bool isListConfirmed(const SearchContext &Ctx, const Search &Entry);
   void queuePacket(Search &Entry, const packet::Packet &Packet);
   void dropQueuedPackets(Search &Entry);
   void sortProbeCandidates(const SearchContext &Ctx, const packet::FlowId &Id,
@@ -188,6 +208,7 @@
   base::TimePoint LastQueriedAt;
   size_t QueuedBytes = 0;
   std::vector<LocatedFlow> Located;
+  std::optional<base::TimePoint> LatestUnconfirmed;
   SearchCounts Counts;
 };
 
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -477,8 +477,9 @@
 // Search for the holder of a flow.
 
 SearchContext PacketRouter::searchContext(base::TimePoint Now) const {
+  bool IsDiscovering = Now - this->StartedAt < AgentDiscoveryTime;
   return {Now, *this->Operators,
-          this->HasMembers && Now - this->StartedAt >= AgentDiscoveryTime,
+          IsDiscovering ? std::nullopt : this->Peers.lists().confirmedAt(Now),
           this->flowLifetime()};
 }
 
@@ -528,6 +529,7 @@
 
 void PacketRouter::applyAnnouncements(
     base::TimePoint Now, const std::vector<members::Member> &Members) {
+  this->AnnouncementsAppliedAt = Now;
   this->Agents.applyAnnouncements(Now, Members);
 }
 
@@ -542,6 +544,12 @@
     this->recordLocatedFlows(Now);
   } else if (const auto *Passed = std::get_if<wire::PassedStatuses>(&Message)) {
     this->onPassedStatuses(Now, From, *Passed, Out);
+  } else if (const auto *Query = std::get_if<wire::AgentListQuery>(&Message)) {
+    this->Peers.onListQuery(From, *Query, Out);
+  } else if (const auto *List = std::get_if<wire::AgentListAnswer>(&Message)) {
+    this->Peers.onListAnswer(Now, From, *List, Out);
+  } else if (const auto *Wanted = std::get_if<wire::StatusQuery>(&Message)) {
+    this->Peers.onStatusQuery(Now, From, *Wanted, Out);
   }
 }
 
@@ -723,11 +731,18 @@
       Out.Events.push_back(std::move(Line));
     }
   }
+  // Before the search, which relies on the comparison of the lists of agents.
+  this->Peers.onTick(
+      Now,
+      {IsStoreCurrent, this->AnnouncementsAppliedAt, this->documentsVersion()},
+      this->flowLifetime(), Out);
   this->Search.onTick(this->searchContext(Now), Out);
+  if (std::optional<base::TimePoint> Since = this->Search.takeUnconfirmed()) {
+    this->Peers.lists().requestConfirmation(*Since);
+  }
   this->recordLocatedFlows(Now);
   this->placeQueuedOpenings(Now, Out);
   this->refuseQueuedOpenings(Now, Out);
-  this->Peers.onTick(Now, IsStoreCurrent, this->documentsVersion(), Out);
   this->sendHellos(Now, IsStoreCurrent, Out);
   if (Now >= this->NextExpiry) {
     this->NextExpiry = Now + ExpiryInterval;
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -111,10 +111,12 @@
   /// Handles a packet that an agent has returned.
   void onReturned(base::TimePoint Now, const base::Address &From,
                   const packet::Packet &Packet, packet::PacketActions &Out);
-  /// Handles a message from an agent. Ignores all other messages.
+  /// Handles a message from an agent or another balancer. Ignores all other
+  /// messages.
   void onMessage(base::TimePoint Now, const base::Address &From,
                  const wire::RelayMessage &Message, packet::PacketActions &Out);
-  /// Applies the agent announcements last read from the store.
+  /// Applies the agent announcements last read from the store. They must be up
+  /// to date if the next onTick() says that the store's view is current.
   void applyAnnouncements(base::TimePoint Now,
                           const std::vector<members::Member> &Members);
   /// Sends batched holder queries, at most once per HolderQueryInterval unless
@@ -138,6 +140,15 @@
   const SearchCounts &searchCounts() const { return this->Search.counts(); }
   /// Number of upstreams that are much slower than others of their service.
   size_t slowUpstreams() const { return this->Health.slowUpstreams(); }
+  const ListExchangeCounts &listCounts() const {
+    return this->Peers.lists().counts();
+  }
+  /// The digest of the list of agents (members::AgentList).
+  uint64_t agentListDigest() const { return this->Peers.lists().digest(); }
+  /// True if the list of agents is known to be whole.
+  bool isListConfirmed(base::TimePoint Now) const {
+    return this->Peers.lists().confirmedAt(Now).has_value();
+  }
   /// Number of opening packets in the queue.
   size_t queuedOpenings() const { return this->Queue.size(); }
   /// Number of flows in the flow table.
@@ -231,6 +242,7 @@
   std::map<base::ServiceName, base::TimePoint> LastServedAt;
   // The announcements have been read at least once.
   bool HasMembers = false;
+  base::TimePoint AnnouncementsAppliedAt;
   base::TimePoint NextExpiry;
   wire::DocumentsVersion NewsHeard;
   // The version of the documents in the last hellos.
--- a/bilberry/routing/peer_balancers.cc
+++ b/bilberry/routing/peer_balancers.cc
@@ -3,6 +3,7 @@
 #include "bilberry/routing/rendezvous.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace bilberry::routing {
@@ -13,7 +14,8 @@
 PeerBalancers::PeerBalancers(PeerIdentity Self, base::TimePoint StartedAt,
                              const members::AgentViews &Agents)
     : Self(std::move(Self)), StartedAt(StartedAt), Agents(Agents),
-      Score(this->scoreOf(this->Self.Name)), NextPass(StartedAt) {}
+      Score(this->scoreOf(this->Self.Name)), Lists(this->Self, Agents),
+      LastPassAt(StartedAt - PassInterval) {}
 
 uint64_t PeerBalancers::scoreOf(const base::MemberName &Name) const {
   return rendezvousScore(memberHash(Name),
@@ -51,6 +53,7 @@
   Known.Run = Message.Run;
   Known.FollowsStore = Message.FollowsStore;
   Known.LastMessageAt = Now;
+  this->Lists.recordDigest(Now, From, Message.AgentList, Message.FollowsStore);
   if (!IsNewRun) {
     return;
   }
@@ -73,9 +76,10 @@
   wire::PassedStatuses Message{this->Self.Name,
                                this->Self.Run,
                                this->Self.DataCentre,
-                               this->IsStoreCurrent,
+                               this->View.IsCurrent,
                                {},
-                               this->Documents};
+                               this->View.Documents,
+                               this->Lists.digest()};
   size_t Next = 0;
   do {
     Message.Statuses.clear();
@@ -93,16 +97,73 @@
   } while (Next < AgentIndexes.size());
 }
 
-void PeerBalancers::onTick(base::TimePoint Now, bool IsStoreCurrent,
-                           const wire::DocumentsVersion &Documents,
+bool PeerBalancers::isHeard(base::TimePoint Now,
+                            const base::Address &From) const {
+  auto It = this->Peers.find(From);
+  return It != this->Peers.end() && It->second.isHeard(Now);
+}
+
+void PeerBalancers::onListQuery(const base::Address &From,
+                                const wire::AgentListQuery &Query,
+                                packet::PacketActions &Out) const {
+  if (Query.DataCentre == this->Self.DataCentre) {
+    this->Lists.onQuery(From, Query, Out);
+  }
+}
+
+void PeerBalancers::onListAnswer(base::TimePoint Now, const base::Address &From,
+                                 const wire::AgentListAnswer &Answer,
+                                 packet::PacketActions &Out) {
+  if (Answer.DataCentre == this->Self.DataCentre && this->isHeard(Now, From)) {
+    this->Lists.onAnswer(Now, From, Answer, Out);
+  }
+}
+
+void PeerBalancers::onStatusQuery(base::TimePoint Now,
+                                  const base::Address &From,
+                                  const wire::StatusQuery &Query,
+                                  packet::PacketActions &Out) const {
+  if (Query.DataCentre != this->Self.DataCentre ||
+      Query.Agents.size() > wire::MaxAgentsPerStatusQuery) {
+    return;
+  }
+  std::unordered_set<uint64_t> Wanted(Query.Agents.begin(), Query.Agents.end());
+  std::vector<AgentIndex> Found;
+  for (size_t I = 0; I < this->Agents.size(); ++I) {
+    auto Index = static_cast<AgentIndex>(I);
+    const AgentView &View = this->Agents.at(Index);
+    if (View.hasStatus() && Wanted.contains(View.NameHash)) {
+      Found.push_back(Index);
+    }
+  }
+  if (!Found.empty()) {
+    this->send(Now, {From}, Found, Out);
+  }
+}
+
+void PeerBalancers::onTick(base::TimePoint Now, const StoreView &View,
+                           base::Duration FlowLifetime,
                            packet::PacketActions &Out) {
-  bool HasNews = IsStoreCurrent && wire::isNewer(Documents, this->Documents);
-  this->IsStoreCurrent = IsStoreCurrent;
-  this->Documents = Documents;
-  if (Now < this->NextPass && !HasNews) {
+  for (const auto &[Control, Known] : this->Peers) {
+    if (!Known.isHeard(Now)) {
+      this->Lists.forget(Control);
+    }
+  }
+  this->Lists.update(Now,
+                     View.IsCurrent ? std::optional(View.ReadAt) : std::nullopt,
+                     FlowLifetime);
+  this->Lists.onTick(Now, Out);
+  bool HasNewDocuments =
+      View.IsCurrent && wire::isNewer(View.Documents, this->View.Documents);
+  this->View = View;
+  base::Duration Interval = this->Lists.digest() != this->PassedDigest
+                                ? ListNewsInterval
+                                : PassInterval;
+  if (Now - this->LastPassAt < Interval && !HasNewDocuments) {
     return;
   }
-  this->NextPass = Now + PassInterval;
+  this->LastPassAt = Now;
+  this->PassedDigest = this->Lists.digest();
   std::erase_if(this->Peers, [&](const auto &Known) {
     return Now -
                std::max(Known.second.LastMessageAt, Known.second.LastNamedAt) >
--- a/bilberry/routing/peer_balancers.h
+++ b/bilberry/routing/peer_balancers.h
@@ -5,7 +5,8 @@
 // An agent sends its status to all balancers of its own data centre, but only
 // to a few of each other one, and a new agent is known at first only to the
 // balancers that follow the store. Those pass on what the others lack. A
-// balancer that has just started gets all that the others know.
+// balancer that has just started gets all that the others know. Messages may be
+// lost, so the lists of agents are compared (AgentListExchange).
 //
 // Each waiting watch and each change that it reports is a call to the store, so
 // only FollowersPerDataCentre balancers follow it. They are ranked by
@@ -25,6 +26,8 @@
 #include "bilberry/base/ids.h"
 #include "bilberry/members/agent_views.h"
 #include "bilberry/packet/packet_actions.h"
+#include "bilberry/routing/agent_list_exchange.h"
+#include "bilberry/routing/peer_identity.h"
 
 #include <map>
 #include <vector>
@@ -35,6 +38,9 @@
 inline constexpr size_t FollowersPerDataCentre = 2;
 /// Interval of the messages to the other balancers.
 inline constexpr base::Duration PassInterval = std::chrono::milliseconds(500);
+/// Minimum time between two messages if the list of agents has changed.
+inline constexpr base::Duration ListNewsInterval =
+    std::chrono::milliseconds(200);
 /// A balancer without a message for this long isn't relied on: four messages
 /// were missed.
 inline constexpr base::Duration PeerTimeout = std::chrono::milliseconds(2200);
@@ -45,13 +51,13 @@
 /// meanwhile which others do.
 inline constexpr base::Duration FollowingGracePeriod = std::chrono::seconds(3);
 
-/// Identity of a balancer among its peers.
-struct PeerIdentity {
-  base::MemberName Name;
-  base::Incarnation Run = 0;
-  base::DataCentreName DataCentre;
-  /// UDP address for messages.
-  base::Address Control;
+/// What a balancer knows from the store.
+struct StoreView {
+  /// It follows the store, and its view is current.
+  bool IsCurrent = false;
+  /// When the announcements were last applied.
+  base::TimePoint ReadAt;
+  wire::DocumentsVersion Documents;
 };
 
 /// Not thread-safe.
@@ -70,17 +76,30 @@
   void onMessage(base::TimePoint Now, const base::Address &From,
                  const wire::PassedStatuses &Message,
                  packet::PacketActions &Out);
-  /// Sends what is due. Call several times a second. IsStoreCurrent is true if
-  /// this balancer follows the store and its view is current; Documents is the
-  /// version of its documents. A follower sends a new version at once.
-  void onTick(base::TimePoint Now, bool IsStoreCurrent,
-              const wire::DocumentsVersion &Documents,
-              packet::PacketActions &Out);
+  /// Handles another balancer's query for differences of the lists of agents.
+  void onListQuery(const base::Address &From, const wire::AgentListQuery &Query,
+                   packet::PacketActions &Out) const;
+  /// Handles the answer to such a query.
+  void onListAnswer(base::TimePoint Now, const base::Address &From,
+                    const wire::AgentListAnswer &Answer,
+                    packet::PacketActions &Out);
+  /// Sends the statuses that another balancer asks for.
+  void onStatusQuery(base::TimePoint Now, const base::Address &From,
+                     const wire::StatusQuery &Query,
+                     packet::PacketActions &Out) const;
+  /// Sends what is due. Call several times a second, after the tick of the
+  /// agents' views. FlowLifetime is how long an open flow may be idle. A
+  /// follower sends a new version of the documents at once.
+  void onTick(base::TimePoint Now, const StoreView &View,
+              base::Duration FlowLifetime, packet::PacketActions &Out);
 
   /// True if this balancer must follow the store.
   bool mustFollowStore(base::TimePoint Now) const;
   /// The number of balancers that were heard recently.
   size_t heard(base::TimePoint Now) const;
+  /// The comparison of the lists of agents.
+  AgentListExchange &lists() { return this->Lists; }
+  const AgentListExchange &lists() const { return this->Lists; }
 
 private:
   struct Peer {
@@ -97,6 +116,7 @@
   };
 
   uint64_t scoreOf(const base::MemberName &Name) const;
+  bool isHeard(base::TimePoint Now, const base::Address &From) const;
   void send(base::TimePoint Now, const std::vector<base::Address> &To,
             const std::vector<members::AgentIndex> &AgentIndexes,
             packet::PacketActions &Out) const;
@@ -106,11 +126,13 @@
   const members::AgentViews &Agents;
   uint64_t Score;
   std::map<base::Address, Peer> Peers;
+  AgentListExchange Lists;
   // Agents whose last status is to be passed on, each at most once.
   std::vector<members::AgentIndex> Pending;
-  base::TimePoint NextPass;
-  bool IsStoreCurrent = false;
-  wire::DocumentsVersion Documents;
+  base::TimePoint LastPassAt;
+  StoreView View;
+  // The digest of the list of agents in the last message.
+  uint64_t PassedDigest = 0;
 };
 
 } // namespace bilberry::routing
--- a/bilberry/store/prefix_watcher.h
+++ b/bilberry/store/prefix_watcher.h
@@ -52,10 +52,20 @@
   void reread() {
     std::lock_guard Lock(this->Mutex);
     if (this->ActiveWatch) {
+      this->IsCurrent = false;
       this->ActiveWatch->request_stop();
     }
   }
 
+  /// True while changes are being watched after a listing: what was reported is
+  /// up to date, as far as the watch shows. False before the first listing,
+  /// while suspended, and until the listing after that or after a watch has
+  /// ended. Thread-safe.
+  bool isCurrent() const {
+    std::lock_guard Lock(this->Mutex);
+    return this->IsCurrent && !this->IsSuspended;
+  }
+
   /// Sets how long the watch may be silent before it breaks. Each check that
   /// the store still answers is a call, so a short limit is for few processes.
   /// A changed limit ends the current watch and lists the prefix again.
@@ -76,6 +86,7 @@
   void setSuspended(bool Value) {
     std::lock_guard Lock(this->Mutex);
     this->IsSuspended = Value;
+    this->IsCurrent = false;
     if (Value && this->ActiveWatch) {
       this->ActiveWatch->request_stop();
     }
@@ -159,6 +170,7 @@
   base::Duration setActiveWatch(std::stop_source *Source) {
     std::lock_guard Lock(this->Mutex);
     this->ActiveWatch = Source;
+    this->IsCurrent = Source != nullptr;
     // setSuspended() may have been called since the listing began.
     if (Source && this->IsSuspended) {
       Source->request_stop();
@@ -178,10 +190,11 @@
   base::Duration RereadInterval;
   Backoff Delays;
   std::chrono::steady_clock::time_point ListingStartedAt;
-  std::mutex Mutex;
+  mutable std::mutex Mutex;
   std::stop_source *ActiveWatch = nullptr;
   std::condition_variable_any Resumed;
   bool IsSuspended = false;
+  bool IsCurrent = false;
   base::Duration SilenceLimit;
 };
 
--- a/bilberry/testing/holder_search_test.cc
+++ b/bilberry/testing/holder_search_test.cc
@@ -50,7 +50,18 @@
   }
 
   SearchContext context() const {
-    return {this->Now, this->Operators, true, seconds(60)};
+    return {this->Now, this->Operators,
+            this->IsListConfirmed ? std::optional(this->ListConfirmedAt)
+                                  : std::nullopt,
+            seconds(60)};
+  }
+
+  void receivePacket() {
+    packet::Packet Packet;
+    Packet.Source = this->Flow.Caller;
+    Packet.Destination = this->Flow.Route;
+    Packet.IsAck = true;
+    this->Search.onUnknownFlowPacket(this->context(), Packet, this->Out);
   }
 
   base::TimePoint Now{seconds(100)};
@@ -59,6 +70,9 @@
   members::AgentViews Agents;
   HolderSearch Search;
   packet::PacketActions Out;
+  bool IsListConfirmed = true;
+  // Later than any search unless a test sets it.
+  base::TimePoint ListConfirmedAt{seconds(1000)};
 };
 
 // An agent that was taken to be gone is heard again while the others are being
@@ -73,11 +87,7 @@
       this->Agents.tick(this->Now);
     }
     this->sendStatus("a");
-    packet::Packet Packet;
-    Packet.Source = this->Flow.Caller;
-    Packet.Destination = this->Flow.Route;
-    Packet.IsAck = true;
-    this->Search.onUnknownFlowPacket(this->context(), Packet, this->Out);
+    this->receivePacket();
     this->tick(milliseconds(20));
     this->answerAbsent("a");
     this->tick(milliseconds(200));
@@ -91,6 +101,52 @@
   }
 }
 
+// All known agents deny the flow, but the list of agents isn't known to be
+// whole. Guards against resets on the word of agents that don't include the
+// holder, and against resets that never come.
+TEST_F(HolderSearchTest, ResetsOnlyOnceTheListWasWholeAfterTheSearchBegan) {
+  struct Case {
+    const char *Name;
+    /// When the list was last known to be whole, from the search's begin;
+    /// absent if it isn't known.
+    std::optional<milliseconds> ConfirmedAt;
+    /// When that becomes known.
+    milliseconds KnownAfter;
+    bool IsReset;
+  };
+  const Case Cases[] = {
+      {"never", std::nullopt, milliseconds(0), false},
+      {"before", milliseconds(-1), milliseconds(0), false},
+      {"during", milliseconds(10), milliseconds(0), true},
+      {"after the second round", milliseconds(600), milliseconds(600), true},
+      {"too late", milliseconds(1600), milliseconds(1600), false},
+  };
+  for (const Case &Item : Cases) {
+    SCOPED_TRACE(Item.Name);
+    this->Out.clear();
+    this->sendStatus("a");
+    this->IsListConfirmed = false;
+    base::TimePoint StartedAt = this->Now;
+    this->ListConfirmedAt =
+        StartedAt + Item.ConfirmedAt.value_or(milliseconds(0));
+    this->receivePacket();
+    uint64_t Unconfirmed = this->Search.counts().Unconfirmed;
+    for (int I = 0; I < 40; ++I) {
+      this->IsListConfirmed =
+          Item.ConfirmedAt && this->Now - StartedAt >= Item.KnownAfter;
+      this->tick(milliseconds(50));
+      this->answerAbsent("a");
+    }
+    EXPECT_EQ(this->Out.Resets.size(), Item.IsReset ? 1U : 0U);
+    bool WasWanted = this->Search.takeUnconfirmed() == StartedAt;
+    EXPECT_EQ(WasWanted, Item.KnownAfter > milliseconds(0) || !Item.IsReset);
+    EXPECT_EQ(this->Search.counts().Unconfirmed - Unconfirmed,
+              WasWanted ? 1U : 0U);
+    this->Search.cancel(this->Flow);
+    this->Now += seconds(10);
+  }
+}
+
 class PacketRouterHello : public ::testing::Test {
 protected:
   // Announces an agent in the given data centre to the router.
--- a/bilberry/testing/peer_balancers_test.cc
+++ b/bilberry/testing/peer_balancers_test.cc
@@ -147,18 +147,21 @@
   this->Peers.learn(this->Now, {{1, 1}, {2, 1}, {2, 2}});
   this->Peers.passOn(Index);
   this->Peers.passOn(Index);
-  this->Peers.onTick(this->Now, true, {}, this->Out);
+  this->Peers.onTick(this->Now, {true, {}, {}}, seconds(60), this->Out);
   ASSERT_EQ(this->Out.Messages.size(), 1U);
   EXPECT_EQ(this->Out.Messages[0].To.size(), 2U);
   EXPECT_EQ(this->statusesSent(), 1U);
   this->Out.clear();
-  this->Peers.onTick(this->Now + PassInterval / 2, true, {}, this->Out);
+  this->Peers.onTick(this->Now + PassInterval / 2, {true, {}, {}}, seconds(60),
+                     this->Out);
   EXPECT_TRUE(this->Out.Messages.empty());
-  this->Peers.onTick(this->Now + PassInterval, true, {}, this->Out);
+  this->Peers.onTick(this->Now + PassInterval, {true, {}, {}}, seconds(60),
+                     this->Out);
   EXPECT_EQ(this->statusesSent(), 0U);
   EXPECT_EQ(this->Out.Messages.size(), 1U);
   this->Out.clear();
-  this->Peers.onTick(this->Now + PeerExpiry + seconds(1), true, {}, this->Out);
+  this->Peers.onTick(this->Now + PeerExpiry + seconds(1), {true, {}, {}},
+                     seconds(60), this->Out);
   EXPECT_TRUE(this->Out.Messages.empty());
 }
 
@@ -166,7 +169,7 @@
 // others wait for what a follower reports.
 TEST_F(PeerBalancersTest, FollowerReportsNewDocumentsAtOnce) {
   this->Peers.learn(this->Now, {{2, 1}});
-  this->Peers.onTick(this->Now, true, {1, {}}, this->Out);
+  this->Peers.onTick(this->Now, {true, {}, {1, {}}}, seconds(60), this->Out);
   struct Case {
     const char *Name;
     bool IsStoreCurrent;
@@ -182,8 +185,8 @@
   for (const Case &Item : Cases) {
     this->Now += milliseconds(50);
     this->Out.clear();
-    this->Peers.onTick(this->Now, Item.IsStoreCurrent, {Item.Changed, {}},
-                       this->Out);
+    this->Peers.onTick(this->Now, {Item.IsStoreCurrent, {}, {Item.Changed, {}}},
+                       seconds(60), this->Out);
     ASSERT_EQ(this->Out.Messages.size(), Item.Messages) << Item.Name;
     for (const packet::SendMessage &Action : this->Out.Messages) {
       EXPECT_EQ(
--- a/bilberry/testing/prefix_watcher_test.cc
+++ b/bilberry/testing/prefix_watcher_test.cc
@@ -24,6 +24,8 @@
       : Watcher(Source, "/a/", RereadInterval),
         Thread([this](const std::stop_token &Stop) { this->run(Stop); }) {}
 
+  bool isCurrent() const { return this->Watcher.isCurrent(); }
+  void setSuspended(bool Value) { this->Watcher.setSuspended(Value); }
   /// Changes how long the watch may be silent.
   void setSilenceLimit(base::Duration Value) {
     this->Watcher.setSilenceLimit(Value);
@@ -65,6 +67,29 @@
               ElementsAre("list 1", "put /a/2=y", "delete /a/1"));
 }
 
+// Guards against a view from before a suspension that passes for the present
+// one.
+TEST_F(PrefixWatcherTest, IsCurrentOnlyOnceItHasListedAgain) {
+  RecordingWatcher Recorder(this->Store);
+  auto WaitUntilCurrent = [&] {
+    while (!Recorder.isCurrent()) {
+      std::this_thread::yield();
+    }
+  };
+  WaitUntilCurrent();
+  Recorder.setSuspended(true);
+  EXPECT_FALSE(Recorder.isCurrent());
+  standin::StoreFaults Outage;
+  Outage.Mode = standin::Availability::Refusing;
+  this->Store.setFaults(Outage);
+  Recorder.setSuspended(false);
+  EXPECT_FALSE(Recorder.isCurrent());
+  ASSERT_TRUE(Recorder.Log.waitForCount(2));
+  EXPECT_FALSE(Recorder.isCurrent());
+  this->Store.setFaults({});
+  WaitUntilCurrent();
+}
+
 TEST_F(PrefixWatcherTest, ListsAgainAfterEachInterval) {
   RecordingWatcher Recorder(this->Store, std::chrono::milliseconds(1));
   ASSERT_TRUE(Recorder.Log.waitForCount(3));
--- a/bilberry/wire/relay_message.h
+++ b/bilberry/wire/relay_message.h
@@ -152,9 +152,51 @@
   bool FollowsStore = false;
   std::vector<PassedStatus> Statuses;
   DocumentsVersion Documents;
+  /// Digest of the sender's list of agents (members::AgentList); 0 from a
+  /// balancer that doesn't send it.
+  uint64_t AgentList = 0;
 
-  MSGPACK_DEFINE(Name, Run, DataCentre, FollowsStore, Statuses,
-                 Documents); // NOLINT
+  MSGPACK_DEFINE(Name, Run, DataCentre, FollowsStore, Statuses, Documents,
+                 AgentList); // NOLINT
+};
+
+/// Balancer to another balancer of its data centre: asks how the receiver's
+/// list of agents differs from the sender's.
+struct AgentListQuery {
+  base::MemberName Name;
+  base::Incarnation Run = 0;
+  base::DataCentreName DataCentre;
+  /// One digest for each bucket of the sender's list.
+  std::vector<uint64_t> Buckets;
+
+  MSGPACK_DEFINE(Name, Run, DataCentre, Buckets); // NOLINT
+};
+
+/// Answer to an AgentListQuery: the agents in the buckets that differ.
+struct AgentListAnswer {
+  base::MemberName Name;
+  base::Incarnation Run = 0;
+  base::DataCentreName DataCentre;
+  /// As in PassedStatuses.
+  bool FollowsStore = false;
+  uint64_t AgentList = 0;
+  /// Hashes of names (members::AgentView::NameHash).
+  std::vector<uint64_t> Agents;
+  /// False if not all of these buckets fit.
+  bool IsComplete = false;
+
+  MSGPACK_DEFINE(Name, Run, DataCentre, FollowsStore, AgentList, Agents,
+                 IsComplete); // NOLINT
+};
+
+/// Balancer to another balancer of its data centre: asks for the last statuses
+/// of these agents, as PassedStatuses.
+struct StatusQuery {
+  base::DataCentreName DataCentre;
+  /// Hashes of names, at most MaxAgentsPerStatusQuery.
+  std::vector<uint64_t> Agents;
+
+  MSGPACK_DEFINE(DataCentre, Agents); // NOLINT
 };
 
 /// Balancer to agent: asks which of these flows the agent holds, in order to
@@ -188,12 +230,18 @@
 /// Any control message between a balancer and an agent or another balancer.
 /// New alternatives must be appended: the index is part of the wire format.
 using RelayMessage = std::variant<BalancerHello, KnownFlows, AgentStatus,
-                                  HolderQuery, HolderAnswer, PassedStatuses>;
+                                  HolderQuery, HolderAnswer, PassedStatuses,
+                                  AgentListQuery, AgentListAnswer, StatusQuery>;
 
 /// The maximum number of flows in one message, so that it fits a datagram.
 inline constexpr size_t MaxFlowsPerMessage = 40;
 /// The maximum number of statuses in one message, for the same reason.
 inline constexpr size_t MaxStatusesPerMessage = 6;
+/// The maximum number of agents in one AgentListAnswer, for the same reason.
+/// Far more than a bucket has.
+inline constexpr size_t MaxAgentsPerListAnswer = 150;
+/// The maximum number of agents in one StatusQuery: the answer is six messages.
+inline constexpr size_t MaxAgentsPerStatusQuery = 6 * MaxStatusesPerMessage;
 
 /// Parses a message. Errors: Malformed. Never throws, even on arbitrary bytes.
 /// Thread-safe.
