Keep the known flows of an agent that other balancers hear

A balancer that no longer heard an agent reset its flows after 5 s, although others heard it and packets still reached it; and a balancer that heard nobody reset all its flows.

Cause: silence at one balancer was taken for the agent's end.

Change: a known flow is reset with its agent only if no other balancer of the data centre lists the agent, and only if this balancer has received any message lately. An agent that only others hear is listed again, without new flows.

--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -116,6 +116,15 @@
       return NoAgent;
     }
   }
+  bool IsUnheardHere = Known != NoAgent && this->Views[Known].IsGone &&
+                       this->Views[Known].hasStatus() &&
+                       !this->Views[Known].IsFar;
+  if (IsUnheardHere) {
+    // This balancer has lost the path to the agent, or from it. The agent may
+    // hold flows, but gets new ones only once it is heard here.
+    ReceivedAt =
+        std::min(ReceivedAt, Now - MaxStatusAge - std::chrono::milliseconds(1));
+  }
   AgentIndex Index =
       this->applyStatus(ReceivedAt, Passed.Control, Passed.Status, IsNewRun);
   if (Index != NoAgent) {
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -92,9 +92,7 @@
   }
   KnownFlow &Flow = It->second;
   const AgentView &Holder = this->Agents.at(Flow.Holder);
-  bool MayStillServe =
-      this->Agents.mayStillServe(Now, Flow.Holder, this->flowLifetime());
-  switch (decideForward(Now, Flow, Holder, MayStillServe)) {
+  switch (decideForward(Now, Flow, Holder, this->mayHolderServe(Now, Flow))) {
   case ForwardDecision::Send:
     this->forward(Now, Packet, Flow, Out);
     return;
@@ -122,6 +120,19 @@
   }
 }
 
+// True if the flow's holder is gone, but may still serve: also if another
+// balancer hears it, or this one hears nobody.
+bool PacketRouter::mayHolderServe(base::TimePoint Now,
+                                  const KnownFlow &Flow) const {
+  if (!this->Agents.at(Flow.Holder).IsGone) {
+    return false;
+  }
+  bool IsIsolated =
+      this->Agents.size() > 1 && Now - this->LastMessageAt > IsolationTimeout;
+  return this->Agents.mayStillServe(Now, Flow.Holder, this->flowLifetime()) ||
+         IsIsolated || !this->Peers.lists().coversOthers(Now);
+}
+
 // Asks the assumed holder alone: a lost report must not cost a query to every
 // agent.
 void PacketRouter::askHolder(base::TimePoint Now, const FlowId &Id,
@@ -536,6 +547,7 @@
 void PacketRouter::onMessage(base::TimePoint Now, const base::Address &From,
                              const wire::RelayMessage &Message,
                              PacketActions &Out) {
+  this->LastMessageAt = Now;
   if (const auto *Status = std::get_if<wire::AgentStatus>(&Message)) {
     this->onStatus(Now, From, *Status, Out);
   } else if (const auto *Answer = std::get_if<wire::HolderAnswer>(&Message)) {
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -64,6 +64,11 @@
 /// Maximum number of agents to which an opening packet is sent.
 inline constexpr size_t MaxPlacementAttempts = 6;
 
+/// A balancer that has received no message for this long may be cut off: its
+/// agents are not taken to be gone. Agents of its data centre send four
+/// statuses a second.
+inline constexpr base::Duration IsolationTimeout = members::MaxStatusAge;
+
 /// Identity and limits of this balancer.
 struct BalancerIdentity {
   base::MemberName Name;
@@ -199,6 +204,7 @@
   void onHolderAnswer(base::TimePoint Now, const wire::HolderAnswer &Answer);
   void search(base::TimePoint Now, const packet::Packet &Packet,
               packet::PacketActions &Out);
+  bool mayHolderServe(base::TimePoint Now, const KnownFlow &Flow) const;
   SearchContext searchContext(base::TimePoint Now) const;
   void recordLocatedFlows(base::TimePoint Now);
   void onStatus(base::TimePoint Now, const base::Address &From,
@@ -243,6 +249,8 @@
   // The announcements have been read at least once.
   bool HasMembers = false;
   base::TimePoint AnnouncementsAppliedAt;
+  // When a message of any other process was last received.
+  base::TimePoint LastMessageAt;
   base::TimePoint NextExpiry;
   wire::DocumentsVersion NewsHeard;
   // The version of the documents in the last hellos.
