Keep flows of an announced agent beyond a cut that was never heard here

A flow of an agent that started in a data centre which was cut off from this one was reset, if no other agent of that data centre had been heard within the flows' lifetime.

Cause: an announced agent that sends no status within 2 s counts as gone, and the rule for unreachable data centres applied only to agents that had been heard.

Change: the rule covers announced agents too, by the data centre of the announcement; while its service is unknown, it may be that of any route.

--- a/bilberry/members/agent_views.cc
+++ b/bilberry/members/agent_views.cc
@@ -136,6 +136,7 @@
 
 void AgentViews::setDataCentre(AgentIndex Index,
                                const base::DataCentreName &Name) {
+  this->Views[Index].DataCentre = Name;
   this->Views[Index].IsFar =
       !this->Local.empty() && !Name.empty() && Name != this->Local;
 }
@@ -183,14 +184,15 @@
                                base::Duration FlowLifetime) const {
   const AgentView &View = this->Views[Index];
   bool IsExpired = Now - View.LastStatusAt > FlowLifetime;
-  if (!View.IsGone || !View.hasStatus() || IsExpired) {
+  bool IsKnown = View.hasStatus() || View.IsAnnounced;
+  if (!View.IsGone || !IsKnown || IsExpired) {
     return false;
   }
   bool WasStopped = View.Status.Condition == wire::AgentCondition::Stopping &&
                     View.Status.Flows > 0;
   // Flows may have opened since the last status, unless it had no upstream.
   bool IsUnreachable = View.IsFar && !View.hasNoFlows() &&
-                       !this->Reachable.contains(View.Status.DataCentre);
+                       !this->Reachable.contains(View.DataCentre);
   return WasStopped || IsUnreachable;
 }
 
--- a/bilberry/members/agent_views.h
+++ b/bilberry/members/agent_views.h
@@ -10,8 +10,9 @@
 //
 // Two kinds of silent agents may nevertheless have an upstream that serves: one
 // that was stopped before its upstream, and one in a data centre of which no
-// agent is heard, because the path to that data centre is cut. Their flows are
-// not reset before the idle timeout of flows has passed.
+// agent is heard, because the path to that data centre is cut. The latter may
+// never have been heard here. Their flows are not reset before the idle timeout
+// of flows has passed.
 
 #ifndef BILBERRY_MEMBERS_AGENT_VIEWS_H
 #define BILBERRY_MEMBERS_AGENT_VIEWS_H
@@ -64,6 +65,8 @@
   base::MemberName Name;
   /// routing::memberHash() of the name.
   uint64_t NameHash = 0;
+  /// Its data centre, as last announced or reported.
+  base::DataCentreName DataCentre;
   /// UDP address for callers' packets.
   base::Address Data;
   /// UDP address for messages between balancers and agents.
--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -95,7 +95,9 @@
   }
   const targets::Route *Route =
       Ctx.Operators.Routes ? Ctx.Operators.Routes->find(Id.Route) : nullptr;
-  return (!Route || Route->allows(View.Status.Service)) &&
+  bool IsOfService = !Route || View.Status.Service.empty() ||
+                     Route->allows(View.Status.Service);
+  return IsOfService &&
          this->Agents.mayStillServe(Ctx.Now, Index, Ctx.FlowLifetime);
 }
 
