Say three times that an agent with open flows stops

A balancer that missed the one status in which an agent says that it stops took it for gone after 5 s, and reset the flows of an upstream that served.

Cause: the status was sent once, and the process exited at once. Change: it is sent at three successive ticks before the process exits. A comment in the tests moves to the test that it describes.

Evidence: PacketAgentTest.TellsSeveralTimesThatItStops fails with the repetition taken out.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -794,12 +794,15 @@
   this->OutlastsUpstream = Run && Run->IsDraining;
   this->announceOpened(Now, base::Duration(0));
   this->sendStatus(Now, true, Out);
+  bool HasFlows = this->Flows.inStage(FlowStage::Open) > 0;
+  this->StopStatusesLeft = HasFlows ? StopStatusCount - 1 : 0;
 }
 
 bool PacketAgent::isReadyToExit() const {
   bool AwaitsUpstream =
       this->OutlastsUpstream && this->Upstream.currentRun().has_value();
-  return !AwaitsUpstream && !this->UpstreamLeftAt;
+  return !AwaitsUpstream && !this->UpstreamLeftAt &&
+         this->StopStatusesLeft == 0;
 }
 
 bool PacketAgent::mustFollowStore(base::TimePoint Now) const {
@@ -817,6 +820,11 @@
   }
   this->updateDamping(Now, Out);
   this->announceFreeCapacity(Now, Out);
+  if (this->StopStatusesLeft > 0) {
+    --this->StopStatusesLeft;
+    this->sendStatus(Now, true, Out);
+    return;
+  }
   // Balancers wait for this agent in searches until they know.
   if (this->knowsAllFlows(Now) != this->LastSentKnowsAllFlows) {
     this->sendStatus(Now, true, Out);
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -53,6 +53,10 @@
 inline constexpr base::Duration PauseThreshold = std::chrono::seconds(1);
 /// The idle timeout of an open flow if the routes don't set one.
 inline constexpr base::Duration DefaultIdleTimeout = std::chrono::seconds(60);
+/// How often an agent that is stopping and has open flows says so, at
+/// successive ticks: a balancer that misses it resets the flows if no next run
+/// reports.
+inline constexpr int StopStatusCount = 3;
 
 /// How long after its start an agent relies on balancers without having heard
 /// them: it has just read the store.
@@ -127,7 +131,8 @@
   /// balancers. The agent then accepts no new flows, and relays packets until
   /// the process exits.
   void onStop(base::TimePoint Now, packet::PacketActions &Out);
-  /// After onStop(): false while relaying still serves callers. That is while a
+  /// After onStop(): false until the balancers have been told often enough, and
+  /// while relaying still serves callers. That is while a
   /// draining upstream hasn't left, because its machine is being removed and it
   /// has no other way to its callers; and until the flows of an upstream that
   /// has left are reset. An upstream that keeps running is served by the next
@@ -258,6 +263,7 @@
   // The upstream's present run was started while this process was running.
   bool SawUpstreamStart = false;
   bool IsStopping = false;
+  int StopStatusesLeft = 0;
   // The upstream was draining when this process was asked to stop.
   bool OutlastsUpstream = false;
   wire::DocumentsVersion NewestDocumentsVersion;
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -4,6 +4,7 @@
 #include "bilberry/agent/packet_agent.h"
 #include "bilberry/standin/single_route.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <string>
 
@@ -163,8 +164,33 @@
   EXPECT_TRUE(this->Agent.isReadyToExit());
 }
 
-// Balancers queue flows until an upstream has capacity. Those that placed flows
-// here lately must learn of it at once, in whichever data centre they are.
+// Guards against one lost datagram that lets a balancer take a stopped agent,
+// whose upstream serves, for one that is gone with its flows.
+TEST_F(PacketAgentTest, TellsSeveralTimesThatItStops) {
+  wire::BalancerHello Hello;
+  Hello.Name = base::MemberName("balancer");
+  Hello.Run = 1;
+  this->Agent.onMessage(this->Clock.now(), Balancer, Hello, this->Out);
+  this->sendCallerPacket(1, true, 100, 0);
+  this->sendUpstreamPacket(1, true, 500, 0);
+  this->sendCallerPacket(1, false, 101, 200, 501);
+  this->Out.clear();
+  this->Agent.onStop(this->Clock.now(), this->Out);
+  int Ticks = 0;
+  for (; !this->Agent.isReadyToExit() && Ticks < 10; ++Ticks) {
+    this->Clock.advance(milliseconds(50));
+    this->Agent.onTick(this->Clock.now(), this->Out);
+  }
+  EXPECT_EQ(Ticks, agent::StopStatusCount - 1);
+  auto Told = std::ranges::count_if(
+      this->Out.Messages, [](const packet::SendMessage &Action) {
+        const auto *Status = std::get_if<wire::AgentStatus>(&Action.Message);
+        return Status && Status->Flows == 1 &&
+               Status->Condition == wire::AgentCondition::Stopping;
+      });
+  EXPECT_EQ(Told, agent::StopStatusCount);
+}
+
 // Guards against resets of a live upstream's flows: a heartbeat of another
 // process must not replace the upstream's run, however late its start.
 TEST_F(PacketAgentTest, ForeignHeartbeatDoesNotResetFlows) {
@@ -290,6 +316,8 @@
 class FreeCapacityTest : public PacketAgentTest,
                          public ::testing::WithParamInterface<const char *> {};
 
+// Balancers queue flows until an upstream has capacity. Those that placed flows
+// here lately must learn of it at once, in whichever data centre they are.
 TEST_P(FreeCapacityTest, IsAnnouncedAtOnce) {
   this->Agent.onMessage(this->Clock.now(), Balancer,
                         wire::BalancerHello{base::MemberName("b"),
