Let a stopping agent exit only once it knows whether it has an upstream

Cause: an agent that was started and stopped within a second, because its VM was being removed, exited without knowing whether it had an upstream. All balancers had heard it, so each search waited for its answer until it counted as gone, 5 s later, and probed only two upstreams meanwhile. Whether that happens depends on milliseconds.

Change: such an agent stays, and answers queries, until a heartbeat comes or the heartbeat interval has passed without one.

--- a/bilberry/agent/packet_agent.cc
+++ b/bilberry/agent/packet_agent.cc
@@ -611,6 +611,13 @@
          MaxHeartbeatGap;
 }
 
+// True while an upstream may be running from which this process hasn't received
+// a heartbeat yet.
+bool PacketAgent::mayHaveUpstream(base::TimePoint Now) const {
+  return this->Upstream.lastHeartbeatAt() == base::TimePoint() &&
+         Now - this->UnpausedSince <= MaxHeartbeatGap;
+}
+
 // False while the upstream may hold flows from before this process started. A
 // flow may be dropped after the idle timeout, so once that has passed every
 // open flow has sent a packet through this process. Without heartbeats there is
@@ -798,10 +805,15 @@
   this->StopStatusesLeft = HasFlows ? StopStatusCount - 1 : 0;
 }
 
-bool PacketAgent::isReadyToExit() const {
+// Until this process has run for longer than a heartbeat interval, it doesn't
+// know whether there is an upstream. If it exited, searches at all balancers
+// would wait for its answer, while it can say that it doesn't know.
+bool PacketAgent::isReadyToExit(base::TimePoint Now) const {
+  bool IsUpstreamUnknown =
+      !this->Upstream.currentRun() && this->mayHaveUpstream(Now);
   bool AwaitsUpstream =
       this->OutlastsUpstream && this->Upstream.currentRun().has_value();
-  return !AwaitsUpstream && !this->UpstreamLeftAt &&
+  return !AwaitsUpstream && !IsUpstreamUnknown && !this->UpstreamLeftAt &&
          this->StopStatusesLeft == 0;
 }
 
--- a/bilberry/agent/packet_agent.h
+++ b/bilberry/agent/packet_agent.h
@@ -131,13 +131,14 @@
   /// balancers. The agent then accepts no new flows, and relays packets until
   /// the process exits.
   void onStop(base::TimePoint Now, packet::PacketActions &Out);
-  /// After onStop(): false until the balancers have been told often enough, and
-  /// while relaying still serves callers. That is while a
-  /// draining upstream hasn't left, because its machine is being removed and it
-  /// has no other way to its callers; and until the flows of an upstream that
-  /// has left are reset. An upstream that keeps running is served by the next
-  /// run of this process, which should start soon.
-  bool isReadyToExit() const;
+  /// After onStop(): false until the balancers have been told often enough,
+  /// while it isn't known yet whether there is an upstream, and while relaying
+  /// still serves callers. That is while a draining upstream hasn't left,
+  /// because its machine is being removed and it has no other way to its
+  /// callers; and until the flows of an upstream that has left are reset. An
+  /// upstream that keeps running is served by the next run of this process,
+  /// which should start soon.
+  bool isReadyToExit(base::TimePoint Now) const;
   /// Call several times a second.
   void onTick(base::TimePoint Now, packet::PacketActions &Out);
 
@@ -208,6 +209,7 @@
   bool startedBefore(const members::UpstreamHeartbeat &Report) const;
   bool knowsAllFlows(base::TimePoint Now) const;
   bool isUpstreamSilent(base::TimePoint Now) const;
+  bool mayHaveUpstream(base::TimePoint Now) const;
   void returnProbe(const base::Address &From, const packet::Packet &Packet,
                    packet::HopTag Reason, packet::PacketActions &Out);
   base::Duration idleTimeout() const;
--- a/bilberry/agent/packet_agent_process.h
+++ b/bilberry/agent/packet_agent_process.h
@@ -167,7 +167,7 @@
     bool HasUpstream = false;
     {
       std::lock_guard Lock(this->Node.mutex());
-      if (!this->Agent.isReadyToExit()) {
+      if (!this->Agent.isReadyToExit(this->Node.now())) {
         return false;
       }
       HasUpstream = this->Agent.upstream().currentRun().has_value();
--- a/bilberry/testing/packet_agent_test.cc
+++ b/bilberry/testing/packet_agent_test.cc
@@ -155,13 +155,13 @@
     this->Report.IsDraining = IsDraining;
     this->sendHeartbeat();
     this->Agent.onStop(this->Clock.now(), this->Out);
-    EXPECT_EQ(this->Agent.isReadyToExit(), !IsDraining);
+    EXPECT_EQ(this->Agent.isReadyToExit(this->Clock.now()), !IsDraining);
   }
   this->Agent.onLeave(this->Clock.now(), this->Report.Id, this->Out);
-  EXPECT_FALSE(this->Agent.isReadyToExit());
+  EXPECT_FALSE(this->Agent.isReadyToExit(this->Clock.now()));
   this->Clock.advance(agent::ResetDelayAfterLeave + milliseconds(100));
   this->Agent.onTick(this->Clock.now(), this->Out);
-  EXPECT_TRUE(this->Agent.isReadyToExit());
+  EXPECT_TRUE(this->Agent.isReadyToExit(this->Clock.now()));
 }
 
 // Guards against one lost datagram that lets a balancer take a stopped agent,
@@ -177,7 +177,7 @@
   this->Out.clear();
   this->Agent.onStop(this->Clock.now(), this->Out);
   int Ticks = 0;
-  for (; !this->Agent.isReadyToExit() && Ticks < 10; ++Ticks) {
+  for (; !this->Agent.isReadyToExit(this->Clock.now()) && Ticks < 10; ++Ticks) {
     this->Clock.advance(milliseconds(50));
     this->Agent.onTick(this->Clock.now(), this->Out);
   }
@@ -191,6 +191,44 @@
   EXPECT_EQ(Told, agent::StopStatusCount);
 }
 
+// An agent is stopped right after its start, before its upstream's first
+// heartbeat. Guards against searches at all balancers that wait for an agent
+// which has exited without saying whether it has an upstream.
+TEST(StoppedAtStart, ExitsOnlyOnceItKnowsWhetherItHasAnUpstream) {
+  for (bool HasUpstream : {false, true}) {
+    SCOPED_TRACE(HasUpstream);
+    base::ManualClock Clock;
+    Clock.advance(seconds(100));
+    targets::OperatorStateCache StateCache(standin::singleRouteFormat(Route));
+    agent::PacketAgent Agent({base::MemberName("agent"),
+                              1,
+                              base::DataCentreName("dc"),
+                              {},
+                              {},
+                              base::ServiceName("rounds"),
+                              Upstream},
+                             {1.5, 5}, Clock.now(), StateCache);
+    packet::PacketActions Out;
+    Agent.onStop(Clock.now(), Out);
+    milliseconds ReadyAfter(0);
+    for (; !Agent.isReadyToExit(Clock.now()); ReadyAfter += milliseconds(50)) {
+      ASSERT_LT(ReadyAfter, seconds(4));
+      Clock.advance(milliseconds(50));
+      Agent.onTick(Clock.now(), Out);
+      if (HasUpstream && ReadyAfter == milliseconds(1000)) {
+        members::UpstreamHeartbeat Report;
+        Report.Id = "upstream";
+        Report.Service = base::ServiceName("rounds");
+        Report.Address = Upstream;
+        Report.DataCentre = base::DataCentreName("dc");
+        Report.Sequence = 20;
+        Agent.onReport(Clock.now(), Report, Out);
+      }
+    }
+    EXPECT_EQ(ReadyAfter, milliseconds(HasUpstream ? 1050 : 2550));
+  }
+}
+
 // Guards against resets of a live upstream's flows: a heartbeat of another
 // process must not replace the upstream's run, however late its start.
 TEST_F(PacketAgentTest, ForeignHeartbeatDoesNotResetFlows) {
