--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -302,6 +302,12 @@
 // unless none is left or too many probes have failed.
 void HolderSearch::probeNextAgent(const SearchContext &Ctx, const FlowId &Id,
                                   Search &Entry, PacketActions &Out) {
+  if (isProbeLimitReached(Entry) && !Entry.PendingAgents.empty()) {
+    Out.Decisions.push_back({"flow-undecided", Id,
+                             this->Agents.at(Entry.PendingAgents.front()).Data,
+                             "no more probes while an agent is silent",
+                             Ctx.Operators.routeVersion()});
+  }
   if (Entry.ProbeCandidates.empty() || isProbeLimitReached(Entry) ||
       Entry.Packets.empty()) {
     this->dropQueuedPackets(Entry);
