Reset nothing by a search for a second after a pause of the balancer

A balancer that was paused took its list of agents for whole at once: it had not yet read the changes of the store, and the messages that it read first were from before or during the pause.

Change: a pause starts the discovery time anew, as a start does.

Evidence: PacketRouterHello.PausedBalancerResetsNothingUntilItHasCaughtUp fails with the condition taken out (reset after 200 ms) and passes now.

--- a/bilberry/routing/known_flow.h
+++ b/bilberry/routing/known_flow.h
@@ -67,7 +67,7 @@
 
 /// Decides on a packet of a known flow. Holder is the agent of Flow.Holder.
 /// MayStillServe tells whether the upstream of an agent that is gone may still
-/// serve (AgentViews::mayStillServe).
+/// serve, by what this balancer and the others know.
 ForwardDecision decideForward(base::TimePoint Now, const KnownFlow &Flow,
                               const members::AgentView &Holder,
                               bool MayStillServe);
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -26,7 +26,8 @@
       Peers({this->Self.Name, this->Self.Run, this->Self.DataCentre,
              this->Self.Control},
             StartedAt, Agents),
-      Queue(this->Self.Overload.CallersTakeTurns) {}
+      Queue(this->Self.Overload.CallersTakeTurns), LastTickAt(StartedAt),
+      DiscoveryEndsAt(StartedAt + AgentDiscoveryTime) {}
 
 void PacketRouter::sendToAgent(AgentIndex Index, std::span<char> Bytes,
                                HopTag Tag, PacketActions &Out) const {
@@ -488,7 +489,7 @@
 // Search for the holder of a flow.
 
 SearchContext PacketRouter::searchContext(base::TimePoint Now) const {
-  bool IsDiscovering = Now - this->StartedAt < AgentDiscoveryTime;
+  bool IsDiscovering = Now < this->DiscoveryEndsAt;
   return {Now, *this->Operators,
           IsDiscovering ? std::nullopt : this->Peers.lists().confirmedAt(Now),
           this->flowLifetime()};
@@ -726,6 +727,10 @@
 
 void PacketRouter::onTick(base::TimePoint Now, bool IsStoreCurrent,
                           PacketActions &Out) {
+  if (Now - this->LastTickAt > RouterPauseThreshold) {
+    this->DiscoveryEndsAt = Now + AgentDiscoveryTime;
+  }
+  this->LastTickAt = Now;
   this->HasMembers = this->HasMembers || IsStoreCurrent;
   this->Operators = this->StateCache.current();
   for (AgentIndex Index : this->Agents.tick(Now)) {
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -33,10 +33,14 @@
 
 namespace bilberry::routing {
 
-/// How long after its start a balancer has received the status of every running
-/// agent: announced agents reply to its hello, and agents that knew its
-/// previous run still send it their status.
+/// How long after its start or a pause a balancer has received the status of
+/// every running agent: announced agents reply to its hello, and agents that
+/// knew its previous run still send it their status.
 inline constexpr base::Duration AgentDiscoveryTime = std::chrono::seconds(1);
+/// A longer time between two ticks means that the process was paused. What it
+/// reads first after that may be old.
+inline constexpr base::Duration RouterPauseThreshold =
+    std::chrono::milliseconds(500);
 /// Interval between hello messages to an agent of the same data centre, or to
 /// one that is silent.
 inline constexpr base::Duration HelloInterval = std::chrono::seconds(1);
@@ -249,6 +253,9 @@
   // The announcements have been read at least once.
   bool HasMembers = false;
   base::TimePoint AnnouncementsAppliedAt;
+  base::TimePoint LastTickAt;
+  // Until then the list of agents may not be whole.
+  base::TimePoint DiscoveryEndsAt;
   // When a message of any other process was last received.
   base::TimePoint LastMessageAt;
   base::TimePoint NextExpiry;
--- a/bilberry/testing/holder_search_test.cc
+++ b/bilberry/testing/holder_search_test.cc
@@ -170,6 +170,51 @@
                       StateCache};
 };
 
+// Guards against resets by a balancer that was paused, on what it knew before:
+// agents may have started meanwhile, and what it reads first may be old.
+TEST_F(PacketRouterHello, PausedBalancerResetsNothingUntilItHasCaughtUp) {
+  packet::PacketActions Out;
+  wire::AgentStatus Status;
+  Status.Name = base::MemberName("agent");
+  Status.Run = 1;
+  Status.DataCentre = base::DataCentreName("here");
+  Status.Condition = wire::AgentCondition::InService;
+  packet::Packet Packet;
+  Packet.Source = {0x64400001, 1000};
+  Packet.Destination = Route;
+  Packet.IsAck = true;
+  // Runs for a time in which the agent denies the flow. Returns when the flow
+  // was reset.
+  auto Run = [&](milliseconds Time) {
+    std::optional<base::TimePoint> ResetAt;
+    for (base::TimePoint End = this->Now + Time; this->Now < End;) {
+      this->Now += milliseconds(50);
+      this->announceAgent("here");
+      this->Router.onMessage(this->Now, {2, 2}, Status, Out);
+      this->Router.onTick(this->Now, true, Out);
+      this->Router.onCallerPacket(this->Now, Packet, Out);
+      this->Router.flush(this->Now, Out);
+      this->Router.onMessage(this->Now, {2, 2},
+                             wire::HolderAnswer{Status.Name,
+                                                1,
+                                                {Packet.flowFromCaller()},
+                                                {wire::FlowPresence::Absent}},
+                             Out);
+      if (!Out.Resets.empty() && !ResetAt) {
+        ResetAt = this->Now;
+      }
+      Out.clear();
+    }
+    return ResetAt;
+  };
+  EXPECT_TRUE(Run(seconds(3)));
+  this->Now += seconds(5);
+  base::TimePoint ResumedAt = this->Now;
+  std::optional<base::TimePoint> ResetAt = Run(seconds(3));
+  ASSERT_TRUE(ResetAt);
+  EXPECT_GE(*ResetAt - ResumedAt, AgentDiscoveryTime);
+}
+
 // Messages to and from an agent may be lost for seconds while a link is
 // overloaded. A balancer must go on asking an announced agent for its status:
 // it resets the flows of an agent that it doesn't know.
