Rename three predicates of the search and the router; reword comments

No change of behaviour: mayGoneHolderServe, haveAllListedReplied and resetUnheldFlow say what they decide.

--- a/bilberry/routing/holder_search.cc
+++ b/bilberry/routing/holder_search.cc
@@ -226,11 +226,11 @@
         std::max(this->LatestUnconfirmed.value_or(Entry.SearchStartedAt),
                  Entry.SearchStartedAt);
   }
-  if (this->wereAllAsked(Entry) && IsSecondRound && IsListKnown) {
-    this->concludeHeldByNone(Ctx, Id, Entry, Out);
+  if (this->haveAllListedReplied(Entry) && IsSecondRound && IsListKnown) {
+    this->resetUnheldFlow(Ctx, Id, Entry, Out);
   } else {
     bool IsAgentSilent = !Entry.PendingAgents.empty();
-    bool IsUnconfirmed = this->wereAllAsked(Entry) && IsSecondRound;
+    bool IsUnconfirmed = this->haveAllListedReplied(Entry) && IsSecondRound;
     if (IsUnconfirmed) {
       Entry.UnconfirmedSince = Ctx.Now;
       ++this->Counts.Unconfirmed;
@@ -251,7 +251,7 @@
 }
 
 // True if all agents that are listed now have replied in the last round.
-bool HolderSearch::wereAllAsked(const Search &Entry) const {
+bool HolderSearch::haveAllListedReplied(const Search &Entry) const {
   return Entry.AllReplied && Entry.ArrivalsAtStart == this->Agents.arrivals();
 }
 
@@ -262,9 +262,8 @@
   return Ctx.ListConfirmedAt && *Ctx.ListConfirmedAt >= Entry.SearchStartedAt;
 }
 
-void HolderSearch::concludeHeldByNone(const SearchContext &Ctx,
-                                      const FlowId &Id, Search &Entry,
-                                      PacketActions &Out) {
+void HolderSearch::resetUnheldFlow(const SearchContext &Ctx, const FlowId &Id,
+                                   Search &Entry, PacketActions &Out) {
   Entry.UnconfirmedSince.reset();
   Out.Resets.push_back({Id, Entry.LastAcknowledged});
   Out.Decisions.push_back({"flow-reset",
@@ -418,12 +417,12 @@
       this->startRound(Ctx, It->first, Entry);
     } else if (Entry.UnconfirmedSince) {
       bool IsCurrent =
-          this->wereAllAsked(Entry) &&
+          this->haveAllListedReplied(Entry) &&
           Ctx.Now - *Entry.UnconfirmedSince <= ListConfirmationTimeout;
       if (!IsCurrent) {
         Entry.UnconfirmedSince.reset();
       } else if (isListConfirmed(Ctx, Entry)) {
-        this->concludeHeldByNone(Ctx, It->first, Entry, Out);
+        this->resetUnheldFlow(Ctx, It->first, Entry, Out);
       }
     }
     if (Ctx.Now - Entry.LastPacketAt > SearchLifetime) {
--- a/bilberry/routing/holder_search.h
+++ b/bilberry/routing/holder_search.h
@@ -186,9 +186,9 @@
                      Search &Entry, packet::PacketActions &Out);
   void finishRound(const SearchContext &Ctx, const packet::FlowId &Id,
                    Search &Entry, packet::PacketActions &Out);
-  void concludeHeldByNone(const SearchContext &Ctx, const packet::FlowId &Id,
-                          Search &Entry, packet::PacketActions &Out);
-  bool wereAllAsked(const Search &Entry) const;
+  void resetUnheldFlow(const SearchContext &Ctx, const packet::FlowId &Id,
+                       Search &Entry, packet::PacketActions &Out);
+  bool haveAllListedReplied(const Search &Entry) const;
   static bool isListConfirmed(const SearchContext &Ctx, const Search &Entry);
   void queuePacket(Search &Entry, const packet::Packet &Packet);
   void dropQueuedPackets(Search &Entry);
--- a/bilberry/routing/packet_router.cc
+++ b/bilberry/routing/packet_router.cc
@@ -93,7 +93,8 @@
   }
   KnownFlow &Flow = It->second;
   const AgentView &Holder = this->Agents.at(Flow.Holder);
-  switch (decideForward(Now, Flow, Holder, this->mayHolderServe(Now, Flow))) {
+  switch (
+      decideForward(Now, Flow, Holder, this->mayGoneHolderServe(Now, Flow))) {
   case ForwardDecision::Send:
     this->forward(Now, Packet, Flow, Out);
     return;
@@ -121,10 +122,11 @@
   }
 }
 
-// True if the flow's holder is gone, but may still serve: also if another
-// balancer hears it, or this one hears nobody.
-bool PacketRouter::mayHolderServe(base::TimePoint Now,
-                                  const KnownFlow &Flow) const {
+// True if the flow's holder counts as gone here, but may still serve. Also if
+// another balancer lists it, or if this balancer receives no messages at all
+// and so may be the process that is cut off.
+bool PacketRouter::mayGoneHolderServe(base::TimePoint Now,
+                                      const KnownFlow &Flow) const {
   if (!this->Agents.at(Flow.Holder).IsGone) {
     return false;
   }
--- a/bilberry/routing/packet_router.h
+++ b/bilberry/routing/packet_router.h
@@ -208,7 +208,7 @@
   void onHolderAnswer(base::TimePoint Now, const wire::HolderAnswer &Answer);
   void search(base::TimePoint Now, const packet::Packet &Packet,
               packet::PacketActions &Out);
-  bool mayHolderServe(base::TimePoint Now, const KnownFlow &Flow) const;
+  bool mayGoneHolderServe(base::TimePoint Now, const KnownFlow &Flow) const;
   SearchContext searchContext(base::TimePoint Now) const;
   void recordLocatedFlows(base::TimePoint Now);
   void onStatus(base::TimePoint Now, const base::Address &From,
